--- a/benchmarks/catalogue_in_force.cc
+++ b/benchmarks/catalogue_in_force.cc
@@ -2,7 +2,7 @@
 // force at every node under faults, how many calls the nodes make in the first
 // seconds after an hour's outage, and what a change costs a node against the
 // size of the fleet and of the catalogue.
-// Links: base platform catalogue stand_ins
+// Links: base store catalogue stand_ins
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -42,7 +42,7 @@
       {"none", kNothing, kNoStep},
       {"two editors race for each edit", kNothing,
        [](keeper_fleet& fleet, int i) {
-         platform::call read;
+         store::call read;
          read.key = {"entry", "entry-" + std::to_string(i % 8)};
          const auto found = fleet.clients.platform.store.Apply(read);
          fleet.Write(found, read.key.name);
@@ -133,7 +133,7 @@
 }
 
 void MeasureOutage(bool silent) {
-  const platform::client_options options;
+  const store::client_options options;
   keeper_fleet fleet(kNodes, kSeed);
   fleet.Edit("a");
   fleet.RunFor(seconds(10));
@@ -172,8 +172,8 @@
   std::uint64_t generation = 0;
   const auto put = [&](int entry) {
     const std::string name = "entry-" + std::to_string(entry);
-    platform::watch_event event;
-    event.kind = platform::watch_event_kind::kPut;
+    store::watch_event event;
+    event.kind = store::watch_event_kind::kPut;
     const std::string text = catalogue::EncodeStored(catalogue::Stored(
         keeper_fleet::Entry(name, generation + 1), generation + 1, "w"));
     ++generation;
@@ -183,7 +183,7 @@
   for (int i = 0; i < entries; ++i)
     put(i);
   for (const char* kind : {"entry", "workspace"}) {
-    platform::watch_event bookmark;
+    store::watch_event bookmark;
     bookmark.changed = {{kind, ""}, base::revision(generation), ""};
     keeper.Handle(bookmark, now);
   }
--- a/benchmarks/delivery_machine.cc
+++ b/benchmarks/delivery_machine.cc
@@ -1,7 +1,7 @@
 // Measures what the request machine itself costs: processor time for each
 // streamed chunk and each request, without sockets, and the memory that one
 // request in flight holds.
-// Links: base platform endpoint catalogue admission caller delivery
+// Links: base store endpoint catalogue admission caller delivery
 #include <malloc.h>
 
 #include <algorithm>
--- a/benchmarks/replica_cost.cc
+++ b/benchmarks/replica_cost.cc
@@ -27,7 +27,7 @@
 
 struct domain_made {
   std::vector<endpoint::instance> instances;
-  platform::object object;
+  store::object object;
   std::vector<endpoint::report> reports;
 };
 
--- a/packages/admission/roster_keeper.cc
+++ b/packages/admission/roster_keeper.cc
@@ -36,7 +36,7 @@
       boost::json::object{{"members", std::move(list)}});
 }
 
-limit_roster DecodeRoster(const platform::object& stored) {
+limit_roster DecodeRoster(const store::object& stored) {
   base::json_problems problems;
   limit_roster roster;
   roster.version = stored.version;
@@ -71,18 +71,18 @@
   return out;
 }
 
-roster_effects roster_keeper::Handle(const platform::watch_event& event,
+roster_effects roster_keeper::Handle(const store::watch_event& event,
                                      base::time_point now) {
   roster_effects out;
-  if (event.kind == platform::watch_event_kind::kPut)
+  if (event.kind == store::watch_event_kind::kPut)
     Take(event.changed, out);
-  if (event.kind == platform::watch_event_kind::kBookmark)
+  if (event.kind == store::watch_event_kind::kBookmark)
     synced_ = true;
   Reconsider(now);
   return out;
 }
 
-void roster_keeper::Take(const platform::object& stored, roster_effects& out) {
+void roster_keeper::Take(const store::object& stored, roster_effects& out) {
   if (stored.version <= agreed_.version)
     return;
   try {
@@ -127,7 +127,7 @@
   return {};
 }
 
-roster_effects roster_keeper::Handle(const platform::reply& reply,
+roster_effects roster_keeper::Handle(const store::reply& reply,
                                      base::time_point now) {
   roster_effects out;
   if (writing_ != reply.id)
@@ -195,12 +195,11 @@
   due_.reset();
   const auto wanted = Wanted(now);
   if (synced_ && !writing_ && wanted != agreed_.members && Leads()) {
-    platform::call write;
+    store::call write;
     write.id = ids_.Next();
     write.key = {kRosterKind, kRosterName};
-    write.op = agreed_.version == base::revision()
-                   ? platform::operation::kCreate
-                   : platform::operation::kUpdate;
+    write.op = agreed_.version == base::revision() ? store::operation::kCreate
+                                                   : store::operation::kUpdate;
     write.expected = agreed_.version;
     write.value = EncodeRoster(wanted);
     writing_ = write.id;
--- a/packages/admission/roster_keeper.h
+++ b/packages/admission/roster_keeper.h
@@ -16,8 +16,8 @@
 
 #include "admission/messages.h"
 #include "base/clock.h"
-#include "platform/call_ids.h"
-#include "platform/messages.h"
+#include "store/call_ids.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::admission {
 
@@ -29,10 +29,10 @@
 std::string EncodeRoster(const std::vector<limit_roster::member>& members);
 
 /// @throws base::json_document_error
-limit_roster DecodeRoster(const platform::object& stored);
+limit_roster DecodeRoster(const store::object& stored);
 
 struct roster_effects {
-  std::vector<platform::call> calls;
+  std::vector<store::call> calls;
   std::vector<membership::publish> publish;
   std::optional<limit_roster> agreed;  ///< Set when a newer one was seen.
 };
@@ -52,13 +52,12 @@
   roster_effects Start();
 
   /// Takes an event of the watch on kind "roster".
-  roster_effects Handle(const platform::watch_event& event,
-                        base::time_point now);
+  roster_effects Handle(const store::watch_event& event, base::time_point now);
   roster_effects Handle(const membership::peers_changed& changed,
                         base::time_point now);
   roster_effects Handle(const membership::item_received& received,
                         base::time_point now);
-  roster_effects Handle(const platform::reply& reply, base::time_point now);
+  roster_effects Handle(const store::reply& reply, base::time_point now);
   roster_effects Tick(base::time_point now);
   std::optional<base::time_point> NextTimer() const { return due_; }
 
@@ -74,7 +73,7 @@
   std::vector<limit_roster::member> Live() const;
   bool Leads() const;
   void Reconsider(base::time_point now);
-  void Take(const platform::object& stored, roster_effects& out);
+  void Take(const store::object& stored, roster_effects& out);
 
   limit_roster::member self_;
   std::set<base::node_id> live_;                         // Self included.
@@ -82,9 +81,9 @@
   std::vector<absence> absent_;  // Listed, but not live.
   limit_roster agreed_;
   bool synced_ = false;  // The watch has shown all there is.
-  std::optional<platform::call_id> writing_;
+  std::optional<store::call_id> writing_;
   std::optional<base::time_point> due_;
-  platform::call_id_source ids_{platform::call_owner::kControl};
+  store::call_id_source ids_{store::call_owner::kControl};
 };
 
 }  // namespace flamingoshunt::admission
--- a/packages/admission/tests/correctness/roster_follows_the_live_nodes.cc
+++ b/packages/admission/tests/correctness/roster_follows_the_live_nodes.cc
@@ -14,8 +14,8 @@
 
   keeper_bench() {
     keeper.Start();
-    platform::watch_event bookmark;
-    bookmark.kind = platform::watch_event_kind::kBookmark;
+    store::watch_event bookmark;
+    bookmark.kind = store::watch_event_kind::kBookmark;
     keeper.Handle(bookmark, now);
   }
 
@@ -24,7 +24,7 @@
   }
 
   // Moves on until the keeper writes or has nothing left to do.
-  std::optional<platform::call> RunToWrite(base::duration limit) {
+  std::optional<store::call> RunToWrite(base::duration limit) {
     const base::time_point end = now + limit;
     while (keeper.NextTimer() && *keeper.NextTimer() <= end) {
       now = *keeper.NextTimer();
@@ -36,12 +36,12 @@
     return std::nullopt;
   }
 
-  void Accept(const platform::call& write, std::uint64_t version) {
-    platform::reply reply;
+  void Accept(const store::call& write, std::uint64_t version) {
+    store::reply reply;
     reply.id = write.id;
-    reply.outcome = platform::call_outcome::kOk;
+    reply.outcome = store::call_outcome::kOk;
     reply.current =
-        platform::object{write.key, base::revision(version), write.value};
+        store::object{write.key, base::revision(version), write.value};
     keeper.Handle(reply, now);
   }
 };
@@ -59,7 +59,7 @@
   keeper_bench bench;
   const auto write = bench.RunToWrite(seconds(5));
   REQUIRE(write);
-  CHECK(write->op == platform::operation::kCreate);
+  CHECK(write->op == store::operation::kCreate);
   bench.Accept(*write, 3);
   const std::vector<limit_roster::member> expected = {{base::node_id("a"), 7}};
   CHECK(bench.keeper.agreed().members == expected);
@@ -70,8 +70,8 @@
   keeper_bench bench;
   const std::vector<limit_roster::member> both = {{base::node_id("a"), 7},
                                                   {base::node_id("b"), 9}};
-  platform::watch_event listed;
-  listed.kind = platform::watch_event_kind::kPut;
+  store::watch_event listed;
+  listed.kind = store::watch_event_kind::kPut;
   listed.changed = {
       {kRosterKind, kRosterName}, base::revision(4), EncodeRoster(both)};
   bench.keeper.Handle(listed, bench.now);
@@ -91,8 +91,8 @@
   started.value = "9";
   bench.Peers({Peer("b", membership::peer_state::kAlive)});
   bench.keeper.Handle(membership::item_received{started}, bench.now);
-  platform::watch_event listed;
-  listed.kind = platform::watch_event_kind::kPut;
+  store::watch_event listed;
+  listed.kind = store::watch_event_kind::kPut;
   listed.changed = {
       {kRosterKind, kRosterName},
       base::revision(4),
--- a/packages/catalogue/item_table.cc
+++ b/packages/catalogue/item_table.cc
@@ -39,7 +39,7 @@
   return offer_result::kTaken;
 }
 
-const stored_item* item_table::Find(const platform::object_key& key) const {
+const stored_item* item_table::Find(const store::object_key& key) const {
   const auto found = items_.find(key);
   return found == items_.end() ? nullptr : &found->second;
 }
--- a/packages/catalogue/item_table.h
+++ b/packages/catalogue/item_table.h
@@ -20,8 +20,8 @@
   /// Takes @p item if it is newer than the one held.
   offer_result Offer(const stored_item& item);
 
-  const stored_item* Find(const platform::object_key& key) const;
-  const std::map<platform::object_key, stored_item>& items() const {
+  const stored_item* Find(const store::object_key& key) const;
+  const std::map<store::object_key, stored_item>& items() const {
     return items_;
   }
 
@@ -39,7 +39,7 @@
  private:
   void DropOldestTombstone();
 
-  std::map<platform::object_key, stored_item> items_;
+  std::map<store::object_key, stored_item> items_;
   std::size_t tombstones_ = 0;
   std::uint64_t version_ = 0;
   std::uint64_t digest_ = 0;
--- a/packages/catalogue/platform_proof.cc
+++ b/packages/catalogue/platform_proof.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "platform/kind_view.h"
+#include "store/kind_view.h"
 
 namespace flamingoshunt::catalogue {
 namespace {
@@ -21,10 +21,10 @@
   Evaluate();
 }
 
-platform::call platform_proof::Read(base::time_point now) {
+store::call platform_proof::Read(base::time_point now) {
   if (reads_.size() >= kMaxReads)
     reads_.pop_front();
-  platform::call read;
+  store::call read;
   read.id = ids_.Next();
   read.key = {kinds_.front().kind, kReadName};
   read.timeout = kCallTimeout;
@@ -32,21 +32,21 @@
   return read;
 }
 
-std::vector<platform::call> platform_proof::Lists(bool force,
-                                                  base::time_point now) {
+std::vector<store::call> platform_proof::Lists(bool force,
+                                               base::time_point now) {
   base::revision wanted;
   for (const open_read& read : reads_) {
     if (read.revision && now >= read.answered_at + kListAfter)
       wanted = std::max(wanted, *read.revision);
   }
-  std::vector<platform::call> lists;
+  std::vector<store::call> lists;
   for (watched_kind& each : kinds_) {
     const bool recent = each.listed_at && now < *each.listed_at + kListInterval;
     if (each.list || recent || (!force && each.reached >= wanted))
       continue;
-    platform::call list;
+    store::call list;
     list.id = ids_.Next();
-    list.op = platform::operation::kList;
+    list.op = store::operation::kList;
     list.key.kind = each.kind;
     list.timeout = kCallTimeout;
     each.list = list.id;
@@ -56,13 +56,13 @@
   return lists;
 }
 
-platform_proof::reply_use platform_proof::Handle(const platform::reply& answer,
+platform_proof::reply_use platform_proof::Handle(const store::reply& answer,
                                                  base::time_point now) {
   for (watched_kind& each : kinds_) {
     if (each.list != answer.id)
       continue;
     each.list.reset();
-    if (answer.outcome != platform::call_outcome::kOk)
+    if (answer.outcome != store::call_outcome::kOk)
       return reply_use::kFailed;
     // A list from a platform that is behind reaches nothing new by itself.
     each.reached = std::max(each.reached, answer.store_revision);
@@ -82,10 +82,10 @@
 }
 
 bool platform_proof::TakeReadAnswer(open_read& read,
-                                    const platform::reply& answer,
+                                    const store::reply& answer,
                                     base::time_point now) {
-  const bool answered = answer.outcome == platform::call_outcome::kOk ||
-                        answer.outcome == platform::call_outcome::kNotFound;
+  const bool answered = answer.outcome == store::call_outcome::kOk ||
+                        answer.outcome == store::call_outcome::kNotFound;
   if (!answered)
     return false;
   if (answer.store_revision < highest_) {
@@ -93,7 +93,7 @@
     // restored, and what it holds now is all there is.
     if (!behind_since_)
       behind_since_ = now;
-    if (now < *behind_since_ + platform::kBehindGrace)
+    if (now < *behind_since_ + store::kBehindGrace)
       return false;
     // Revisions count anew; what was reached before says nothing of them.
     for (watched_kind& each : kinds_)
--- a/packages/catalogue/platform_proof.h
+++ b/packages/catalogue/platform_proof.h
@@ -15,8 +15,8 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/call_ids.h"
-#include "platform/messages.h"
+#include "store/call_ids.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::catalogue {
 
@@ -28,23 +28,23 @@
   /// Least time between two lists of one kind.
   static constexpr base::duration kListInterval = std::chrono::seconds(1);
 
-  explicit platform_proof(platform::call_id_source& ids) : ids_(ids) {}
+  explicit platform_proof(store::call_id_source& ids) : ids_(ids) {}
 
   /// Notes that all changes of @p kind up to @p reached have been seen.
   void Reach(const std::string& kind, base::revision reached);
 
   /// @return the read to send; the oldest open one is given up when there are
   ///         too many.
-  platform::call Read(base::time_point now);
+  store::call Read(base::time_point now);
 
   /// @return lists to send for kinds that lag behind a read; with @p force for
   ///         every kind, whether it lags or not.
-  std::vector<platform::call> Lists(bool force, base::time_point now);
+  std::vector<store::call> Lists(bool force, base::time_point now);
 
   enum class reply_use { kForeign, kRead, kList, kFailed };
 
   /// Takes a reply; after kList the caller takes the listed objects in.
-  reply_use Handle(const platform::reply& answer, base::time_point now);
+  reply_use Handle(const store::reply& answer, base::time_point now);
 
   /// @return the latest time as of which the catalogue was proven complete.
   std::optional<base::time_point> proven_at() const { return proven_at_; }
@@ -57,7 +57,7 @@
 
  private:
   struct open_read {
-    platform::call_id id;
+    store::call_id id;
     base::time_point sent_at;
     std::optional<base::revision> revision;  // Once answered.
     base::time_point answered_at;
@@ -65,17 +65,17 @@
   struct watched_kind {
     std::string kind;
     base::revision reached;
-    std::optional<platform::call_id> list;
+    std::optional<store::call_id> list;
     std::optional<base::time_point> listed_at;
   };
 
   void Evaluate();
   bool TakeReadAnswer(open_read& read,
-                      const platform::reply& answer,
+                      const store::reply& answer,
                       base::time_point now);
   base::revision Reached() const;
 
-  platform::call_id_source& ids_;
+  store::call_id_source& ids_;
   std::array<watched_kind, 2> kinds_{watched_kind{"entry", {}, {}, {}},
                                      watched_kind{"workspace", {}, {}, {}}};
   std::deque<open_read> reads_;
--- a/packages/catalogue/publisher.cc
+++ b/packages/catalogue/publisher.cc
@@ -4,16 +4,16 @@
 
 namespace flamingoshunt::catalogue {
 
-std::string PeerKey(const platform::object_key& key) {
+std::string PeerKey(const store::object_key& key) {
   return key.kind + '/' + key.name;
 }
 
-std::optional<platform::object_key> ParsePeerKey(std::string_view text) {
+std::optional<store::object_key> ParsePeerKey(std::string_view text) {
   const auto slash = text.find('/');
   if (slash == std::string_view::npos)
     return std::nullopt;
-  platform::object_key key{std::string(text.substr(0, slash)),
-                           std::string(text.substr(slash + 1))};
+  store::object_key key{std::string(text.substr(0, slash)),
+                        std::string(text.substr(slash + 1))};
   if (key.kind != kEntryKind && key.kind != kWorkspaceKind)
     return std::nullopt;
   return key;
@@ -32,7 +32,7 @@
              now + kStandInAfter + kStandInStep * static_cast<int>(rank));
 }
 
-void publisher::Shown(const platform::object_key& key) {
+void publisher::Shown(const store::object_key& key) {
   if (peers_.Rank(PeerKey(key)) >= kPublishers)
     due_.erase(key);
 }
@@ -72,8 +72,7 @@
   return next;
 }
 
-void publisher::Schedule(const platform::object_key& key,
-                         base::time_point when) {
+void publisher::Schedule(const store::object_key& key, base::time_point when) {
   const stored_item* item = table_.Find(key);
   const auto before = published_.find(key);
   const bool done = item && before != published_.end() &&
--- a/packages/catalogue/publisher.h
+++ b/packages/catalogue/publisher.h
@@ -35,7 +35,7 @@
   void Changed(const stored_item& item, bool from_peer, base::time_point now);
 
   /// Notes that a peer shows an item as new as the table's.
-  void Shown(const platform::object_key& key);
+  void Shown(const store::object_key& key);
 
   /// Ranks anew after peers came or went.
   void PeersChanged(base::time_point now);
@@ -51,21 +51,21 @@
     bool operator==(const identity&) const = default;
   };
 
-  void Schedule(const platform::object_key& key, base::time_point when);
+  void Schedule(const store::object_key& key, base::time_point when);
   void HelpLagging(base::time_point now);
 
   const item_table& table_;
   const peer_statements& peers_;
-  std::map<platform::object_key, identity> published_;
-  std::map<platform::object_key, base::time_point> due_;
+  std::map<store::object_key, identity> published_;
+  std::map<store::object_key, base::time_point> due_;
   std::optional<base::time_point> help_at_;
 };
 
 /// @return the item's key among the peers' items: "kind/name".
-std::string PeerKey(const platform::object_key& key);
+std::string PeerKey(const store::object_key& key);
 
 /// @return nothing when @p text is no such key.
-std::optional<platform::object_key> ParsePeerKey(std::string_view text);
+std::optional<store::object_key> ParsePeerKey(std::string_view text);
 
 }  // namespace flamingoshunt::catalogue
 
--- a/packages/catalogue/stored_item.cc
+++ b/packages/catalogue/stored_item.cc
@@ -72,7 +72,7 @@
           spec};
 }
 
-stored_item Tombstone(platform::object_key key,
+stored_item Tombstone(store::object_key key,
                       std::uint64_t generation,
                       std::string writer) {
   return {std::move(key), generation, std::move(writer), std::nullopt};
@@ -90,7 +90,7 @@
   return boost::json::serialize(json);
 }
 
-std::optional<stored_item> DecodeStored(const platform::object_key& key,
+std::optional<stored_item> DecodeStored(const store::object_key& key,
                                         std::string_view text,
                                         base::json_problems& problems) {
   const auto json = base::ParseJson(text, problems);
--- a/packages/catalogue/stored_item.h
+++ b/packages/catalogue/stored_item.h
@@ -21,7 +21,7 @@
 #include "base/checked_json.h"
 #include "base/clock.h"
 #include "catalogue/entry.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::catalogue {
 
@@ -31,7 +31,7 @@
 using specification = std::variant<entry, workspace>;
 
 struct stored_item {
-  platform::object_key key;  ///< Kind and name, as in the platform.
+  store::object_key key;  ///< Kind and name, as in the platform.
   std::uint64_t generation = 0;
   std::string writer;                 ///< Differs for every write.
   std::optional<specification> spec;  ///< Nothing: deleted.
@@ -55,7 +55,7 @@
 stored_item Stored(const workspace& spec,
                    std::uint64_t generation,
                    std::string writer);
-stored_item Tombstone(platform::object_key key,
+stored_item Tombstone(store::object_key key,
                       std::uint64_t generation,
                       std::string writer);
 
@@ -63,7 +63,7 @@
 
 /// @return nothing, and problems, when @p text is not a checked item of
 ///         @p key.
-std::optional<stored_item> DecodeStored(const platform::object_key& key,
+std::optional<stored_item> DecodeStored(const store::object_key& key,
                                         std::string_view text,
                                         base::json_problems& problems);
 
--- a/packages/catalogue/tests/correctness/nothing_in_force_reverts.cc
+++ b/packages/catalogue/tests/correctness/nothing_in_force_reverts.cc
@@ -16,7 +16,7 @@
 
 void EditOrRace(keeper_fleet& fleet) {
   const std::string name = SomeName(fleet);
-  platform::call read;
+  store::call read;
   read.key = {"entry", name};
   const auto found = fleet.clients.platform.store.Apply(read);
   const bool first = fleet.Write(found, name);
@@ -94,10 +94,10 @@
   options.self = base::node_id("self");
   version_keeper keeper(options);
   const base::time_point now{};
-  const platform::object_key key{"entry", "a"};
+  const store::object_key key{"entry", "a"};
   const auto put = [&](const stored_item& item, std::uint64_t revision) {
-    platform::watch_event event;
-    event.kind = platform::watch_event_kind::kPut;
+    store::watch_event event;
+    event.kind = store::watch_event_kind::kPut;
     event.changed = {key, base::revision(revision), EncodeStored(item)};
     keeper.Handle(event, now);
   };
@@ -134,8 +134,8 @@
   CHECK(fleet.faults.empty());
   CHECK(fleet.node(0).digest() != digest);  // Entry d came.
   CHECK(fleet.node(0).in_force()->entries.size() == 3);
-  platform::call list;
-  list.op = platform::operation::kList;
+  store::call list;
+  list.op = store::operation::kList;
   list.key.kind = "entry";
   const auto stored = fleet.clients.platform.store.Apply(list).listed;
   CHECK(stored.size() == 4);  // a, the tombstone of b, c, d.
--- a/packages/catalogue/tests/keeper_fleet.h
+++ b/packages/catalogue/tests/keeper_fleet.h
@@ -32,7 +32,7 @@
   static constexpr base::duration kDetect = std::chrono::seconds(2);
 
   struct edit {
-    platform::object_key key;
+    store::object_key key;
     std::uint64_t generation = 0;
     base::time_point accepted;
     std::vector<std::optional<base::duration>> in_force;  // By node.
@@ -41,11 +41,11 @@
   };
 
   keeper_fleet(int nodes, std::uint64_t seed)
-      : clients(nodes, platform::client_options{}, seed), random(seed) {
-    clients.on_event = [this](int node, const platform::watch_event& event) {
+      : clients(nodes, store::client_options{}, seed), random(seed) {
+    clients.on_event = [this](int node, const store::watch_event& event) {
       Carry(node, keepers_[node]->Handle(event, now()));
     };
-    clients.on_reply = [this](int node, const platform::reply& answer) {
+    clients.on_reply = [this](int node, const store::reply& answer) {
       Carry(node, keepers_[node]->Handle(answer, now()));
     };
     keepers_.resize(nodes);
@@ -58,14 +58,14 @@
   // Writes the next version of an entry, or a tombstone, as the command line
   // would: conditional on the version that was read.
   bool Edit(const std::string& name, bool remove = false) {
-    platform::call read;
+    store::call read;
     read.key = {"entry", name};
     const auto found = clients.platform.store.Apply(read);
     return Write(found, name, remove);
   }
 
   // The second half of an edit, so that tests can race two.
-  bool Write(const platform::reply& found,
+  bool Write(const store::reply& found,
              const std::string& name,
              bool remove = false) {
     std::uint64_t replaced = 0;
@@ -74,16 +74,16 @@
     const auto wall = base::wall_time(now().time_since_epoch());
     const std::uint64_t generation = NextGeneration(replaced, wall);
     const std::string writer = std::to_string(random());
-    platform::call write;
+    store::call write;
     write.key = {"entry", name};
-    write.op = found.current ? platform::operation::kUpdate
-                             : platform::operation::kCreate;
+    write.op =
+        found.current ? store::operation::kUpdate : store::operation::kCreate;
     write.expected = found.current ? found.current->version : base::revision();
     write.value = EncodeStored(
         remove ? Tombstone(write.key, generation, writer)
                : Stored(Entry(name, generation), generation, writer));
     const auto reply = clients.platform.store.Apply(write);
-    if (reply.outcome != platform::call_outcome::kOk)
+    if (reply.outcome != store::call_outcome::kOk)
       return false;
     edits.push_back({write.key, generation, now(), {}, {}});
     edits.back().in_force.resize(keepers_.size());
@@ -165,7 +165,7 @@
     bool dead;
   };
 
-  static stored_item Decode(const platform::object& found) {
+  static stored_item Decode(const store::object& found) {
     base::json_problems problems;
     return *DecodeStored(found.key, found.value, problems);
   }
@@ -182,8 +182,8 @@
     items_[node].clear();
     ++incarnation_[node];
     TellPeers(node);
-    clients.Watch(node, platform::watch_id(1), "entry");
-    clients.Watch(node, platform::watch_id(2), "workspace");
+    clients.Watch(node, store::watch_id(1), "entry");
+    clients.Watch(node, store::watch_id(2), "workspace");
   }
 
   void TellPeers(int node) {
@@ -237,7 +237,7 @@
           Send(peer, node, item);
       }
     }
-    for (const platform::call& request : effects.calls)
+    for (const store::call& request : effects.calls)
       clients.Submit(node, request);
   }
 
--- a/packages/catalogue/version_keeper.cc
+++ b/packages/catalogue/version_keeper.cc
@@ -26,39 +26,39 @@
 version_keeper::version_keeper(const keeper_options& options)
     : options_(options), peers_(options.self) {}
 
-keeper_effects version_keeper::Handle(const platform::watch_event& event,
+keeper_effects version_keeper::Handle(const store::watch_event& event,
                                       base::time_point now) {
-  const platform::object& changed = event.changed;
+  const store::object& changed = event.changed;
   switch (event.kind) {
-    case platform::watch_event_kind::kPut:
+    case store::watch_event_kind::kPut:
       TakeObject(changed, now, false);
       break;
-    case platform::watch_event_kind::kDelete: {
+    case store::watch_event_kind::kDelete: {
       // Only tombstones delete; an absent item was lost.
       const stored_item* held = table_.Find(changed.key);
       if (held && held->spec)
         write_back_.Older(changed.key, std::nullopt, now);
       break;
     }
-    case platform::watch_event_kind::kBookmark:
+    case store::watch_event_kind::kBookmark:
       bookmarked_[changed.key.kind == kEntryKind ? 0 : 1] = true;
       break;
-    case platform::watch_event_kind::kGap:
+    case store::watch_event_kind::kGap:
       return {};  // The client never passes one on.
   }
   // Events of one list share its revision, so only the bookmark proves it.
-  if (event.kind == platform::watch_event_kind::kBookmark)
+  if (event.kind == store::watch_event_kind::kBookmark)
     proof_.Reach(changed.key.kind, changed.version);
   return Finish(now);
 }
 
-keeper_effects version_keeper::Handle(const platform::reply& answer,
+keeper_effects version_keeper::Handle(const store::reply& answer,
                                       base::time_point now) {
   keeper_effects effects;
   if (const auto next = write_back_.Handle(answer, now))
     effects.calls.push_back(*next);
   if (proof_.Handle(answer, now) == platform_proof::reply_use::kList) {
-    for (const platform::object& each : answer.listed)
+    for (const store::object& each : answer.listed)
       TakeObject(each, now, true);
   }
   keeper_effects rest = Finish(now);
@@ -94,7 +94,7 @@
   return Finish(now);
 }
 
-void version_keeper::TakeObject(const platform::object& found,
+void version_keeper::TakeObject(const store::object& found,
                                 base::time_point now,
                                 bool listed) {
   base::json_problems problems;
@@ -178,7 +178,7 @@
   // ordered by generation, so a list of it does no harm, and an edit made there
   // is found.
   const bool find_edits = proof_.behind() && IsReader();
-  for (const platform::call& list : proof_.Lists(ahead || find_edits, now)) {
+  for (const store::call& list : proof_.Lists(ahead || find_edits, now)) {
     ++counters_.lists;
     effects.calls.push_back(list);
   }
--- a/packages/catalogue/version_keeper.h
+++ b/packages/catalogue/version_keeper.h
@@ -26,7 +26,7 @@
 };
 
 struct keeper_effects {
-  std::vector<platform::call> calls;  ///< For the platform client.
+  std::vector<store::call> calls;  ///< For the platform client.
   std::vector<membership::publish> publish;
   snapshot_ptr in_force;          ///< Set when it changed.
   std::optional<bool> confirmed;  ///< Set when it changed.
@@ -58,10 +58,9 @@
   version_keeper& operator=(const version_keeper&) = delete;
 
   /// Takes an event of the watches on kinds "entry" and "workspace".
-  keeper_effects Handle(const platform::watch_event& event,
-                        base::time_point now);
+  keeper_effects Handle(const store::watch_event& event, base::time_point now);
   /// Takes a reply to a call of call_owner::kCatalogue.
-  keeper_effects Handle(const platform::reply& answer, base::time_point now);
+  keeper_effects Handle(const store::reply& answer, base::time_point now);
   keeper_effects Handle(const membership::item_received& received,
                         base::time_point now);
   keeper_effects Handle(const membership::peers_changed& changed,
@@ -82,14 +81,14 @@
     return peers_.Lagging(version);
   }
   /// @return the item held under @p key, a tombstone too; null if none.
-  const stored_item* Held(const platform::object_key& key) const {
+  const stored_item* Held(const store::object_key& key) const {
     return table_.Find(key);
   }
   const keeper_counters& counters() const { return counters_; }
   std::uint64_t written_back() const { return write_back_.written(); }
 
  private:
-  void TakeObject(const platform::object& found,
+  void TakeObject(const store::object& found,
                   base::time_point now,
                   bool listed);
   void Offer(const stored_item& item, bool from_peer, base::time_point now);
@@ -107,7 +106,7 @@
   bool IsReader() const { return peers_.Rank("reader") < kReaders; }
 
   keeper_options options_;
-  platform::call_id_source ids_{platform::call_owner::kCatalogue};
+  store::call_id_source ids_{store::call_owner::kCatalogue};
   item_table table_;
   peer_statements peers_;
   platform_proof proof_{ids_};
--- a/packages/catalogue/write_back.cc
+++ b/packages/catalogue/write_back.cc
@@ -6,7 +6,7 @@
 
 namespace flamingoshunt::catalogue {
 
-void write_back::Older(const platform::object_key& key,
+void write_back::Older(const store::object_key& key,
                        std::optional<base::revision> at,
                        base::time_point now) {
   if (waiting_.size() >= kMaxWaiting && !waiting_.contains(key))
@@ -15,7 +15,7 @@
   waiting_[key] = {at, now + kDelay + kRankStep * rank};
 }
 
-std::optional<platform::call> write_back::Due(base::time_point now) {
+std::optional<store::call> write_back::Due(base::time_point now) {
   if (writing_)
     return Take(writing_->Tick(now));
   for (auto each = waiting_.begin(); each != waiting_.end(); ++each) {
@@ -38,8 +38,8 @@
   return std::nullopt;
 }
 
-std::optional<platform::call> write_back::Handle(const platform::reply& answer,
-                                                 base::time_point now) {
+std::optional<store::call> write_back::Handle(const store::reply& answer,
+                                              base::time_point now) {
   if (!writing_)
     return std::nullopt;
   return Take(writing_->Handle(answer, now));
@@ -54,23 +54,23 @@
   return next;
 }
 
-std::optional<platform::call> write_back::Take(
-    const platform::settled_write::step& step) {
+std::optional<store::call> write_back::Take(
+    const store::settled_write::step& step) {
   if (step.done) {
-    written_ += *step.done == platform::write_result::kApplied ? 1 : 0;
+    written_ += *step.done == store::write_result::kApplied ? 1 : 0;
     writing_.reset();
   }
   return step.send;
 }
 
-platform::call write_back::Write(const stored_item& item,
-                                 std::optional<base::revision> at) const {
-  platform::call write;
-  write.op = at ? platform::operation::kUpdate : platform::operation::kCreate;
+store::call write_back::Write(const stored_item& item,
+                              std::optional<base::revision> at) const {
+  store::call write;
+  write.op = at ? store::operation::kUpdate : store::operation::kCreate;
   write.key = item.key;
   write.expected = at.value_or(base::revision());
   write.value = EncodeStored(item);
-  write.priority = platform::call_priority::kBackground;
+  write.priority = store::call_priority::kBackground;
   return write;
 }
 
--- a/packages/catalogue/write_back.h
+++ b/packages/catalogue/write_back.h
@@ -10,7 +10,7 @@
 
 #include "catalogue/item_table.h"
 #include "catalogue/peer_statements.h"
-#include "platform/settled_write.h"
+#include "store/settled_write.h"
 
 namespace flamingoshunt::catalogue {
 
@@ -23,23 +23,23 @@
 
   write_back(const item_table& table,
              const peer_statements& peers,
-             platform::call_id_source& ids)
+             store::call_id_source& ids)
       : table_(table), peers_(peers), ids_(ids) {}
 
   /// Notes that the platform holds an item that is older than the table's.
   /// @param at the version of that object; nothing when it has none.
-  void Older(const platform::object_key& key,
+  void Older(const store::object_key& key,
              std::optional<base::revision> at,
              base::time_point now);
 
   /// Notes that the platform holds what the table holds, or newer.
-  void Current(const platform::object_key& key) { waiting_.erase(key); }
+  void Current(const store::object_key& key) { waiting_.erase(key); }
 
   /// @return the next call, if one is due. Nothing is written while fewer than
   ///         half of the known nodes hold the same catalogue as this one.
-  std::optional<platform::call> Due(base::time_point now);
-  std::optional<platform::call> Handle(const platform::reply& answer,
-                                       base::time_point now);
+  std::optional<store::call> Due(base::time_point now);
+  std::optional<store::call> Handle(const store::reply& answer,
+                                    base::time_point now);
   std::optional<base::time_point> NextTimer() const;
 
   std::uint64_t written() const { return written_; }
@@ -50,15 +50,15 @@
     base::time_point due;
   };
 
-  std::optional<platform::call> Take(const platform::settled_write::step& step);
-  platform::call Write(const stored_item& item,
-                       std::optional<base::revision> at) const;
+  std::optional<store::call> Take(const store::settled_write::step& step);
+  store::call Write(const stored_item& item,
+                    std::optional<base::revision> at) const;
 
   const item_table& table_;
   const peer_statements& peers_;
-  platform::call_id_source& ids_;
-  std::map<platform::object_key, older_object> waiting_;
-  std::optional<platform::settled_write> writing_;
+  store::call_id_source& ids_;
+  std::map<store::object_key, older_object> waiting_;
+  std::optional<store::settled_write> writing_;
   std::uint64_t written_ = 0;
 };
 
--- a/packages/control/catalogue_commands.cc
+++ b/packages/control/catalogue_commands.cc
@@ -20,8 +20,7 @@
   return std::move(*text);
 }
 
-platform::object_key ParseKey(const std::string& kind,
-                              const std::string& name) {
+store::object_key ParseKey(const std::string& kind, const std::string& name) {
   if (kind != catalogue::kEntryKind && kind != catalogue::kWorkspaceKind)
     throw command_error(exit_code::kInvalid,
                         kind + ": must be one of: entry, workspace");
@@ -38,7 +37,7 @@
   return kVerbs[static_cast<std::size_t>(kind)];
 }
 
-std::string Title(const platform::object_key& key) {
+std::string Title(const store::object_key& key) {
   return key.kind + " " + key.name;
 }
 
@@ -69,7 +68,7 @@
 
 // Checks the expected version where one was given.
 void CheckExpected(const invocation& call,
-                   const platform::object_key& key,
+                   const store::object_key& key,
                    const found_items& current) {
   if (!call.expect_version)
     return;
@@ -115,7 +114,7 @@
   return exit_code::kOk;
 }
 
-planned_change ReplaceOne(const platform::object_key& key,
+planned_change ReplaceOne(const store::object_key& key,
                           const found_items& current,
                           std::optional<specification> after) {
   const auto found = current.find(key);
@@ -133,7 +132,7 @@
 
 // What `edit` writes to its file and reads from it.
 struct edit_file {
-  platform::object_key key;
+  store::object_key key;
   std::uint64_t version = 0;
   std::optional<specification> spec;
 };
@@ -161,7 +160,7 @@
 
 exit_code StartEdit(session& here,
                     const invocation& call,
-                    const platform::object_key& key) {
+                    const store::object_key& key) {
   const found_items current = catalogue_store(here.world).ReadAll();
   const auto found = current.find(key);
   if (found == current.end() || !found->second.item.spec)
@@ -274,7 +273,7 @@
     if (wanted.entries.size() + wanted.workspaces.size() != 1)
       throw command_error(exit_code::kInvalid,
                           "--expect-version: is for a file of one item");
-    const platform::object_key key =
+    const store::object_key key =
         wanted.entries.empty()
             ? ParseKey("workspace", wanted.workspaces[0].id.str())
             : ParseKey("entry", wanted.entries[0].name.str());
--- a/packages/control/catalogue_store.cc
+++ b/packages/control/catalogue_store.cc
@@ -5,17 +5,17 @@
 
 #include "catalogue/check.h"
 #include "control/errors.h"
-#include "platform/settled_write.h"
+#include "store/settled_write.h"
 
 namespace flamingoshunt::control {
 namespace {
 
 using catalogue::specification;
-using platform::call_outcome;
-using platform::write_result;
+using store::call_outcome;
+using store::write_result;
 
 template <class Spec>
-platform::object_key KeyOf(const Spec& spec) {
+store::object_key KeyOf(const Spec& spec) {
   return catalogue::Stored(spec, 1, "").key;
 }
 
@@ -31,7 +31,7 @@
       *change.after);
 }
 
-std::string Describe(const platform::object_key& key) {
+std::string Describe(const store::object_key& key) {
   return key.kind + " " + key.name;
 }
 
@@ -49,7 +49,7 @@
 std::vector<planned_change> Plan(const catalogue::document& wanted,
                                  const found_items& current,
                                  bool prune) {
-  std::map<platform::object_key, specification> after;
+  std::map<store::object_key, specification> after;
   for (const catalogue::entry& each : wanted.entries)
     after.emplace(KeyOf(each), each);
   for (const catalogue::workspace& each : wanted.workspaces)
@@ -74,7 +74,7 @@
 
 void CheckResult(const found_items& current,
                  const std::vector<planned_change>& changes) {
-  std::map<platform::object_key, specification> result;
+  std::map<store::object_key, specification> result;
   for (const auto& [key, found] : current) {
     if (found.item.spec)
       result.insert_or_assign(key, *found.item.spec);
@@ -101,11 +101,11 @@
 found_items catalogue_store::ReadAll() {
   found_items items;
   for (const auto kind : {catalogue::kEntryKind, catalogue::kWorkspaceKind}) {
-    platform::call list;
-    list.op = platform::operation::kList;
+    store::call list;
+    list.op = store::operation::kList;
     list.key.kind = std::string(kind);
-    const platform::reply answer = Perform(list);
-    for (const platform::object& each : answer.listed) {
+    const store::reply answer = Perform(list);
+    for (const store::object& each : answer.listed) {
       base::json_problems problems;
       auto item = catalogue::DecodeStored(each.key, each.value, problems);
       if (!item)
@@ -125,9 +125,8 @@
   const std::uint64_t replaced = exists ? found->second.item.generation : 0;
   const std::uint64_t generation =
       catalogue::NextGeneration(replaced, world_.WallNow());
-  platform::call write;
-  write.op =
-      exists ? platform::operation::kUpdate : platform::operation::kCreate;
+  store::call write;
+  write.op = exists ? store::operation::kUpdate : store::operation::kCreate;
   write.key = change.key;
   write.expected = exists ? found->second.version : base::revision();
   write.value = catalogue::EncodeStored(
@@ -137,22 +136,22 @@
   return generation;
 }
 
-platform::reply catalogue_store::Perform(platform::call request) {
+store::reply catalogue_store::Perform(store::call request) {
   request.id = ids_.Next();
-  const platform::reply answer = world_.Perform(request);
+  const store::reply answer = world_.Perform(request);
   if (answer.outcome != call_outcome::kOk)
     throw Unavailable("the platform did not answer the list of kind " +
                       request.key.kind);
   return answer;
 }
 
-void catalogue_store::Settle(const platform::call& request,
+void catalogue_store::Settle(const store::call& request,
                              const std::string& mine) {
-  platform::settled_write write(request, ids_);
-  platform::settled_write::step step{write.Start(world_.Now()), std::nullopt};
+  store::settled_write write(request, ids_);
+  store::settled_write::step step{write.Start(world_.Now()), std::nullopt};
   while (!step.done) {
     if (step.send) {
-      const platform::reply answer = world_.Perform(*step.send);
+      const store::reply answer = world_.Perform(*step.send);
       step = write.Handle(answer, world_.Now());
     } else {
       world_.Sleep(*write.NextTimer() - world_.Now());
--- a/packages/control/catalogue_store.h
+++ b/packages/control/catalogue_store.h
@@ -12,7 +12,7 @@
 #include "catalogue/entry_json.h"
 #include "catalogue/stored_item.h"
 #include "control/outside.h"
-#include "platform/call_ids.h"
+#include "store/call_ids.h"
 
 namespace flamingoshunt::control {
 
@@ -22,13 +22,13 @@
   catalogue::stored_item item;
 };
 
-using found_items = std::map<platform::object_key, found_item>;
+using found_items = std::map<store::object_key, found_item>;
 
 enum class change_kind { kCreate, kUpdate, kDelete };
 
 struct planned_change {
   change_kind kind = change_kind::kUpdate;
-  platform::object_key key;
+  store::object_key key;
   std::optional<catalogue::specification> before;
   std::optional<catalogue::specification> after;
 };
@@ -60,11 +60,11 @@
   std::uint64_t Write(const planned_change& change, const found_items& current);
 
  private:
-  platform::reply Perform(platform::call request);
-  void Settle(const platform::call& request, const std::string& mine);
+  store::reply Perform(store::call request);
+  void Settle(const store::call& request, const std::string& mine);
 
   outside& world_;
-  platform::call_id_source ids_{platform::call_owner::kControl};
+  store::call_id_source ids_{store::call_owner::kControl};
 };
 
 }  // namespace flamingoshunt::control
--- a/packages/control/node_commands.cc
+++ b/packages/control/node_commands.cc
@@ -5,8 +5,8 @@
 #include "base/checked_json.h"
 #include "control/commands.h"
 #include "control/table.h"
-#include "platform/call_ids.h"
-#include "platform/settled_write.h"
+#include "store/call_ids.h"
+#include "store/settled_write.h"
 
 namespace flamingoshunt::control {
 namespace {
@@ -142,11 +142,11 @@
 }
 
 // Performs a read or a settled write for a drain.
-platform::write_result WriteDrain(session& here, const platform::call& write) {
-  platform::call_id_source ids(platform::call_owner::kControl);
-  platform::settled_write settled(write, ids);
-  platform::settled_write::step step{settled.Start(here.world.Now()),
-                                     std::nullopt};
+store::write_result WriteDrain(session& here, const store::call& write) {
+  store::call_id_source ids(store::call_owner::kControl);
+  store::settled_write settled(write, ids);
+  store::settled_write::step step{settled.Start(here.world.Now()),
+                                  std::nullopt};
   while (!step.done) {
     if (step.send) {
       const auto answer = here.world.Perform(*step.send);
@@ -160,17 +160,17 @@
 }
 
 exit_code ListDrains(session& here, const invocation& call) {
-  platform::call list;
-  list.id = platform::call_id(1);
-  list.op = platform::operation::kList;
+  store::call list;
+  list.id = store::call_id(1);
+  list.op = store::operation::kList;
   list.key.kind = kDrainKind;
-  const platform::reply answer = here.world.Perform(list);
-  if (answer.outcome != platform::call_outcome::kOk)
+  const store::reply answer = here.world.Perform(list);
+  if (answer.outcome != store::call_outcome::kOk)
     throw command_error(exit_code::kUnavailable,
                         "the platform did not answer the list of drains");
   table rows{{"INSTANCE", "VERSION"}, {}};
   boost::json::array all;
-  for (const platform::object& each : answer.listed) {
+  for (const store::object& each : answer.listed) {
     rows.rows.push_back({each.key.name, std::to_string(each.version.value())});
     all.push_back(boost::json::string(each.key.name));
   }
@@ -226,12 +226,12 @@
   if (call.arguments.empty())
     return ListDrains(here, call);
   const std::string& instance = call.arguments[0];
-  platform::call request;
-  request.id = platform::call_id(1);
+  store::call request;
+  request.id = store::call_id(1);
   request.key = {kDrainKind, instance};
-  const platform::reply found = here.world.Perform(request);
-  const bool exists = found.outcome == platform::call_outcome::kOk;
-  if (!exists && found.outcome != platform::call_outcome::kNotFound)
+  const store::reply found = here.world.Perform(request);
+  const bool exists = found.outcome == store::call_outcome::kOk;
+  if (!exists && found.outcome != store::call_outcome::kNotFound)
     throw command_error(exit_code::kUnavailable, "the platform did not answer");
   if (exists != call.undo) {
     here.out << instance << (exists ? " is draining" : " is not draining")
@@ -239,15 +239,15 @@
     return exit_code::kOk;
   }
   request.op =
-      call.undo ? platform::operation::kDelete : platform::operation::kCreate;
+      call.undo ? store::operation::kDelete : store::operation::kCreate;
   request.expected = exists ? found.current->version : base::revision();
   request.value = boost::json::serialize(
       boost::json::object{{"writer", here.world.WriterToken()}});
   switch (WriteDrain(here, request)) {
-    case platform::write_result::kApplied:
+    case store::write_result::kApplied:
       here.out << instance << (call.undo ? " no longer drains\n" : " drains\n");
       return exit_code::kOk;
-    case platform::write_result::kConflict:
+    case store::write_result::kConflict:
       throw command_error(exit_code::kConflict,
                           instance + ": somebody else changed its drain");
     default:
--- a/packages/control/outside.h
+++ b/packages/control/outside.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::control {
 
@@ -26,7 +26,7 @@
   virtual void UsePlatform(std::vector<std::string> addresses) = 0;
 
   /// Performs one call of the object API and waits for its reply.
-  virtual platform::reply Perform(const platform::call& request) = 0;
+  virtual store::reply Perform(const store::call& request) = 0;
 
   /// Asks the admin interface of the node at @p address.
   /// @return nothing when it can't be reached.
--- a/packages/control/real_outside.cc
+++ b/packages/control/real_outside.cc
@@ -8,8 +8,8 @@
 #include <sstream>
 
 #include "control/errors.h"
-#include "platform/http_codec.h"
 #include "runtime/http_client.h"
+#include "store/http_codec.h"
 
 namespace flamingoshunt::control {
 namespace {
@@ -17,9 +17,9 @@
 constexpr base::duration kAdminTimeout = std::chrono::seconds(2);
 constexpr std::size_t kMaxFile = 16U << 20;  // bytes
 
-platform::http_response Plain(const runtime::http_response_head& head,
-                              std::string body) {
-  platform::http_response plain;
+store::http_response Plain(const runtime::http_response_head& head,
+                           std::string body) {
+  store::http_response plain;
   plain.status = head.status;
   plain.body = std::move(body);
   for (const auto& [name, value] : head.fields)
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-platform::reply real_outside::Perform(const platform::call& request) {
+store::reply real_outside::Perform(const store::call& request) {
   if (platform_.empty())
     throw command_error(exit_code::kInvalid,
                         "name the platform by --platform or --config");
@@ -47,31 +47,31 @@
     if (const auto answer = PerformAt(address, request))
       return *answer;
   }
-  return platform::ReplyWithoutResponse(request, false);
+  return store::ReplyWithoutResponse(request, false);
 }
 
-std::optional<platform::reply> real_outside::PerformAt(
+std::optional<store::reply> real_outside::PerformAt(
     const std::string& address,
-    const platform::call& request) {
+    const store::call& request) {
   runtime::http_connection connection(loop_);
   try {
     connection.Connect(address, request.timeout);
   } catch (const runtime::transport_error&) {
     return std::nullopt;
   }
-  const platform::http_request plain = platform::EncodeCall(request);
+  const store::http_request plain = store::EncodeCall(request);
   auto message = runtime::MakeRequest(plain.method, plain.target, address,
                                       plain.body, "application/json");
-  for (const platform::http_header& header : plain.headers)
+  for (const store::http_header& header : plain.headers)
     message.set(header.name, header.value);
   try {
     connection.Send(message, request.timeout);
     const auto head = connection.ReadHead(request.timeout);
-    return platform::DecodeReply(
+    return store::DecodeReply(
         request, Plain(head, ReadBody(connection, request.timeout)));
   } catch (const runtime::transport_error&) {
-    return platform::ReplyWithoutResponse(request,
-                                          connection.request_may_have_left());
+    return store::ReplyWithoutResponse(request,
+                                       connection.request_may_have_left());
   }
 }
 
--- a/packages/control/real_outside.h
+++ b/packages/control/real_outside.h
@@ -22,7 +22,7 @@
     platform_ = std::move(addresses);
   }
 
-  platform::reply Perform(const platform::call& request) override;
+  store::reply Perform(const store::call& request) override;
   std::optional<admin_answer> Ask(const std::string& address,
                                   const std::string& method,
                                   const std::string& target) override;
@@ -34,8 +34,8 @@
   std::string WriterToken() override;
 
  private:
-  std::optional<platform::reply> PerformAt(const std::string& address,
-                                           const platform::call& request);
+  std::optional<store::reply> PerformAt(const std::string& address,
+                                        const store::call& request);
 
   boost::asio::io_context& loop_;
   base::system_clock clock_;
--- a/packages/control/tests/correctness/edits_reach_the_platform_once.cc
+++ b/packages/control/tests/correctness/edits_reach_the_platform_once.cc
@@ -76,11 +76,11 @@
   fake_outside world;
   world.files = {{"1", kOne}, {"2", kTwo}};
   world.Call({"apply", "1"});
-  world.before_call = [&](const platform::call& request) {
-    if (request.op != platform::operation::kUpdate)
+  world.before_call = [&](const store::call& request) {
+    if (request.op != store::operation::kUpdate)
       return;
     world.before_call = nullptr;
-    platform::call other = request;
+    store::call other = request;
     other.value = Replaced(request.value, "desk", "other");
     world.store.Apply(other);
   };
--- a/packages/control/tests/fake_outside.h
+++ b/packages/control/tests/fake_outside.h
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "control/invocation.h"
-#include "platform/http_codec.h"
 #include "stand_ins/platform_store.h"
+#include "store/http_codec.h"
 
 namespace flamingoshunt::control {
 
@@ -22,17 +22,17 @@
     platform = std::move(addresses);
   }
 
-  platform::reply Perform(const platform::call& request) override {
+  store::reply Perform(const store::call& request) override {
     if (before_call)
       before_call(request);
     if (down)
-      return platform::ReplyWithoutResponse(request, false);
-    const platform::reply answer = store.Apply(request);
-    const bool write = request.op != platform::operation::kGet &&
-                       request.op != platform::operation::kList;
+      return store::ReplyWithoutResponse(request, false);
+    const store::reply answer = store.Apply(request);
+    const bool write = request.op != store::operation::kGet &&
+                       request.op != store::operation::kList;
     if (write && lose_answers > 0) {
       --lose_answers;
-      return platform::ReplyWithoutResponse(request, true);
+      return store::ReplyWithoutResponse(request, true);
     }
     return answer;
   }
@@ -73,7 +73,7 @@
   }
 
   stand_ins::platform_store store;
-  std::function<void(const platform::call&)> before_call;
+  std::function<void(const store::call&)> before_call;
   std::function<std::optional<admin_answer>(const std::string&,
                                             const std::string&)>
       answer;
--- a/packages/daemon/attempt_runner.cc
+++ b/packages/daemon/attempt_runner.cc
@@ -37,6 +37,7 @@
 endpoint::break_kind BreakOf(runtime::transport_failure failure) {
   switch (failure) {
     case runtime::transport_failure::kConnect:
+    case runtime::transport_failure::kRefused:
       return endpoint::break_kind::kConnectFailed;
     case runtime::transport_failure::kTimeout:
       return endpoint::break_kind::kSilent;
--- a/packages/daemon/catalogue_duty.cc
+++ b/packages/daemon/catalogue_duty.cc
@@ -34,7 +34,7 @@
             news);
       }) {}
 
-void catalogue_duty::ConnectPlatform(duty::channel<platform::call>& calls) {
+void catalogue_duty::ConnectPlatform(duty::channel<store::call>& calls) {
   calls_.emplace(thread_.loop(), calls);
 }
 
@@ -66,7 +66,7 @@
 }
 
 void catalogue_duty::Perform(const catalogue::keeper_effects& effects) {
-  for (const platform::call& call : effects.calls)
+  for (const store::call& call : effects.calls)
     calls_->Send(call);
   for (const membership::publish& item : effects.publish)
     publications_->Send(item);
--- a/packages/daemon/catalogue_duty.h
+++ b/packages/daemon/catalogue_duty.h
@@ -32,7 +32,7 @@
   duty::channel<peer_news>& peers() { return peer_news_; }
 
   // All before Start only:
-  void ConnectPlatform(duty::channel<platform::call>& calls);
+  void ConnectPlatform(duty::channel<store::call>& calls);
   void ConnectPeers(duty::channel<membership::publish>& publications);
   /// Adds a thread that gets snapshots.
   void AddReader(duty::channel<catalogue::snapshot_ptr>& reader);
@@ -61,7 +61,7 @@
   duty::timer timer_;
   duty::channel<platform_delivery> platform_news_;
   duty::channel<peer_news> peer_news_;
-  std::optional<duty::outbox<platform::call>> calls_;
+  std::optional<duty::outbox<store::call>> calls_;
   std::optional<duty::outbox<membership::publish>> publications_;
   std::vector<reader> readers_;
   std::atomic<bool> ready_{false};
--- /dev/null
+++ b/packages/daemon/entry_duty.cc
@@ -0,0 +1,138 @@
+#include "daemon/entry_duty.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <utility>
+
+#include "runtime/fiber_scheduler.h"
+#include "telemetry/log.h"
+
+namespace flamingoshunt::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kRingUpdates = 256;
+// How often loads are told to the control thread, which tells the peers.
+constexpr milliseconds kTellPeriod{100};
+// Callers reuse connections up to the announced idle time; ours is longer, so
+// that a request never meets our close.
+constexpr milliseconds kIdleMargin{1000};
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr int kNotFound = 404;
+
+}  // namespace
+
+entry_duty::entry_duty(entry_duty_options options,
+                       const base::clock& clock,
+                       const gateway::protocol& wire,
+                       gateway::metrics& metrics)
+    : options_(std::move(options)),
+      clock_(clock),
+      thread_("entry"),
+      entry_(thread_.loop(),
+             clock,
+             wire,
+             metrics,
+             options_.seed,
+             [this](gateway::entry_news news) {
+               if (news_)
+                 news_->Send(std::move(news));
+             }),
+      updates_(kRingUpdates,
+               thread_.loop(),
+               [this](gateway::fleet_update&& update) { TakeUpdate(update); }) {
+  callers_ = std::make_unique<runtime::http_server>(
+      thread_.loop(), options_.caller_address, options_.server,
+      [this](auto& exchange) { entry_.Handle(exchange); });
+  questions_ = std::make_unique<runtime::http_server>(
+      thread_.loop(), options_.ready_address, options_.server,
+      [this](auto& exchange) { AnswerReady(exchange); });
+}
+
+entry_duty::~entry_duty() = default;
+
+void entry_duty::ConnectFleet(duty::channel<gateway::entry_news>& news) {
+  news_.emplace(thread_.loop(), news);
+}
+
+void entry_duty::Start() {
+  thread_.Start([this](boost::asio::io_context& loop) {
+    runtime::RunFibers(loop, [this] {
+      callers_->Start();
+      questions_->Start();
+      TellLoop();
+    });
+  });
+}
+
+void entry_duty::TellLoop() {
+  gateway::load_map told;
+  bool told_requests = false;
+  while (true) {
+    boost::this_fiber::sleep_for(kTellPeriod);
+    gateway::entry_news news = entry_.TakeNews();
+    const bool changed = !(news.loads == told) ||
+                         news.seen_requests != told_requests ||
+                         !news.suspects.empty() || !news.crashes.empty();
+    if (!changed)
+      continue;
+    told = news.loads;
+    told_requests = news.seen_requests;
+    news_->Send(std::move(news));
+  }
+}
+
+void entry_duty::SetLimits(const gateway::caller_limits& limits) {
+  limits_ = limits;
+  options_.server.max_header_bytes = limits.header_bytes;
+  options_.server.max_body_bytes = limits.body_bytes;
+  options_.server.request_timeout = limits.header_timeout;
+  options_.server.idle_timeout = limits.idle_timeout + kIdleMargin;
+  callers_->SetOptions(options_.server);
+}
+
+void entry_duty::TakeUpdate(const gateway::fleet_update& update) {
+  entry_.Take(update);
+  if (!update.view || !update.view->configuration)
+    return;
+  const auto& limits = update.view->configuration->limits();
+  if (!(limits == limits_))
+    SetLimits(limits);
+  if (!configured_)
+    telemetry::LogChange(
+        "gateway", "ready",
+        {{"configuration", update.view->configuration->version()}});
+  configured_ = true;
+}
+
+void entry_duty::AnswerReady(runtime::http_exchange& exchange) {
+  const auto target = exchange.request().target();
+  if (target != "/-/ready" && target != "/health/ready") {
+    exchange.SendWhole(kNotFound, "", "");
+    return;
+  }
+  const bool ready = configured_ && !stopping_;
+  exchange.SendWhole(ready ? kOk : kUnavailable, "", "");
+}
+
+void entry_duty::BeginStop() {
+  boost::asio::post(thread_.loop(), [this] {
+    stopping_ = true;
+    callers_->CloseAfterAnswers();
+  });
+}
+
+void entry_duty::StopAccepting() {
+  boost::asio::post(thread_.loop(), [this] { callers_->StopAccepting(); });
+}
+
+bool entry_duty::idle() {
+  boost::asio::post(thread_.loop(),
+                    [this] { idle_.store(entry_.running() == 0); });
+  return idle_.load();
+}
+
+}  // namespace flamingoshunt::daemon
--- /dev/null
+++ b/packages/daemon/entry_duty.h
@@ -0,0 +1,78 @@
+// Defines the entry duty of a gateway: the I/O thread that serves callers and
+// the balancer's questions, with the line and the placement on the same thread,
+// since every decision needs what the streams just showed.
+#ifndef FLAMINGOSHUNT_DAEMON_ENTRY_DUTY_H_
+#define FLAMINGOSHUNT_DAEMON_ENTRY_DUTY_H_
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "duty/channel.h"
+#include "duty/duty_thread.h"
+#include "duty/outbox.h"
+#include "gateway/entry.h"
+#include "runtime/http_server.h"
+
+namespace flamingoshunt::daemon {
+
+struct entry_duty_options {
+  std::string caller_address;
+  std::string ready_address;
+  runtime::http_server_options server;
+  std::uint64_t seed = 0;
+};
+
+class entry_duty {
+ public:
+  entry_duty(entry_duty_options options,
+             const base::clock& clock,
+             const gateway::protocol& wire,
+             gateway::metrics& metrics);
+  ~entry_duty();
+
+  std::string caller_address() const { return callers_->address(); }
+  std::string ready_address() const { return questions_->address(); }
+
+  // Wiring; before Start.
+  duty::channel<gateway::fleet_update>& updates() { return updates_; }
+  void ConnectFleet(duty::channel<gateway::entry_news>& news);
+
+  void Start();
+
+  /// Says "not ready" from now on and asks callers for new connections; from
+  /// any thread.
+  void BeginStop();
+
+  /// Closes idle connections and takes no new ones; from any thread.
+  void StopAccepting();
+
+  /// @return whether no request was under way when last looked; each call makes
+  ///         the thread look again. From any thread.
+  bool idle();
+
+ private:
+  void TakeUpdate(const gateway::fleet_update& update);
+  void AnswerReady(runtime::http_exchange& exchange);
+  void TellLoop();
+  void SetLimits(const gateway::caller_limits& limits);
+
+  entry_duty_options options_;
+  const base::clock& clock_;
+  duty::duty_thread thread_;
+  gateway::entry entry_;
+  std::unique_ptr<runtime::http_server> callers_;
+  std::unique_ptr<runtime::http_server> questions_;
+  duty::channel<gateway::fleet_update> updates_;
+  std::optional<duty::outbox<gateway::entry_news>> news_;
+  gateway::caller_limits limits_;
+  bool configured_ = false;
+  bool stopping_ = false;
+  std::atomic<bool> idle_{false};
+};
+
+}  // namespace flamingoshunt::daemon
+
+#endif  // FLAMINGOSHUNT_DAEMON_ENTRY_DUTY_H_
--- /dev/null
+++ b/packages/daemon/fleet_duty.h
@@ -0,0 +1,166 @@
+// Defines the fleet duty of a gateway: the control thread that follows the
+// platform's store, talks with the other nodes, and, where this node acts for a
+// service, forms and mends the groups of its replicas.
+#ifndef FLAMINGOSHUNT_DAEMON_FLEET_DUTY_H_
+#define FLAMINGOSHUNT_DAEMON_FLEET_DUTY_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/udp.hpp>
+
+#include "base/clock.h"
+#include "daemon/platform_duty.h"
+#include "duty/duty_thread.h"
+#include "duty/outbox.h"
+#include "duty/timer.h"
+#include "fleet/deployment.h"
+#include "fleet/peer_news.h"
+#include "fleet/replica_directory.h"
+#include "gateway/entry.h"
+#include "groups/planner.h"
+#include "groups/term_keeper.h"
+#include "runtime/http_client.h"
+#include "settings/settings.h"
+#include "telemetry/counters.h"
+
+namespace flamingoshunt::daemon {
+
+class fleet_duty {
+ public:
+  fleet_duty(const settings::daemon_settings& settings,
+             const fleet::deployment& wire,
+             const base::clock& clock,
+             telemetry::metric_registry& metrics,
+             std::uint64_t incarnation);
+  ~fleet_duty();
+
+  // Wiring; before Start.
+  duty::channel<platform_delivery>& platform() { return deliveries_; }
+  std::vector<std::string> WatchedKinds() const;
+  void ConnectPlatform(duty::channel<store::call>& calls,
+                       const platform_duty& duty);
+  duty::channel<gateway::entry_news>& news() { return news_; }
+  void ConnectEntry(duty::channel<gateway::fleet_update>& updates);
+
+  void Start();
+
+  /// Hands over what this node acts for; from any thread.
+  void BeginStop();
+
+ private:
+  struct acting_service {
+    acting_service(const base::node_id& self,
+                   std::uint64_t incarnation,
+                   const std::string& name,
+                   base::duration stall)
+        : term(self, incarnation, name), planner(name, stall) {}
+    groups::term_keeper term;
+    groups::planner planner;
+    std::uint64_t begun_term = 0;  ///< Term that the planner works under.
+    bool acting = false;
+  };
+  /// What a call of the store was for.
+  struct pending_call {
+    std::string service;  ///< Empty for the node's own entry.
+    bool configuration = false;
+  };
+
+  // The platform's store:
+  void TakeDelivery(platform_delivery&& delivery);
+  void TakeEvent(const store::watch_event& event);
+  void TakeReply(const store::reply& reply);
+  void TakeConfiguration(const store::object& object);
+  void TakeReplica(const store::object& object, bool deleted);
+  void Forget(const base::instance_id& id, const std::string& service);
+  void TakeFleetObject(const store::object& object, bool deleted);
+  void Register();
+  void Submit(store::call call, pending_call purpose);
+
+  // Peers:
+  void Receive();
+  void TakeNews(const fleet::peer_news& news);
+  void TellPeers();
+  fleet::peer_news OwnNews();
+  base::duration NewsPeriod() const;
+  base::duration Silence() const;
+
+  // Groups:
+  void Step();
+  void StepService(const std::string& name, acting_service& of);
+  void Carry(const std::string& name, const groups::plan& plan);
+  std::string AddressOf(const base::instance_id& id) const;
+  runtime::http_reply ExchangeOnce(const std::string& address,
+                                   runtime::http_request request,
+                                   base::duration timeout);
+  void SendOrder(const std::string& service, const fleet::order& order);
+  void AskReport(const std::string& service, const base::instance_id& id);
+  void LogChanges(const std::string& name, acting_service& of);
+
+  // The entry thread:
+  void TakeEntryNews(gateway::entry_news&& news);
+  void Publish();
+  std::vector<gateway::target> TargetsOf(const gateway::service& service) const;
+  std::vector<fleet::serving_group> GroupsOf(
+      const gateway::service& service) const;
+
+  settings::daemon_settings settings_;
+  const fleet::deployment& wire_;
+  const base::clock& clock_;
+  std::uint64_t incarnation_;
+  base::node_id self_;
+  duty::duty_thread thread_;
+  duty::channel<platform_delivery> deliveries_;
+  duty::channel<gateway::entry_news> news_;
+  std::optional<duty::outbox<store::call>> calls_;
+  std::optional<duty::outbox<gateway::fleet_update>> updates_;
+  const platform_duty* platform_duty_ = nullptr;
+  std::uint64_t next_call_ = 1;
+  std::map<store::call_id, pending_call> pending_;
+
+  gateway::configuration_ptr configuration_;
+  fleet::replica_directory replicas_;
+  std::map<std::string, std::unique_ptr<acting_service>> services_;
+  std::map<std::string, store::object> terms_;  ///< By service.
+  bool fleet_listed_ = false;
+
+  std::optional<store::object> own_entry_;
+  bool registering_ = false;
+  base::time_point register_not_before_{};
+  std::map<base::node_id, boost::asio::ip::udp::endpoint> addresses_;
+  fleet::peer_table peers_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::ip::udp::endpoint sender_;
+  std::vector<char> datagram_;
+  std::uint64_t sequence_ = 0;
+  gateway::load_map own_loads_;
+  bool seen_requests_ = false;
+  bool stopping_ = false;
+  std::map<base::instance_id, base::time_point> suspects_;  ///< Own, since.
+  std::map<base::instance_id, base::time_point> heard_suspects_;
+  std::vector<gateway::crash_sighting> crashes_;
+  std::size_t live_nodes_ = 1;
+  std::map<std::string, fleet::group_statement> told_;
+  base::time_point next_news_{};
+  base::time_point gather_until_{};
+  base::time_point configuration_not_before_{};
+  base::time_point last_failure_{};
+
+  bool view_due_ = false;
+  bool loads_due_ = false;
+  duty::timer timer_;
+  runtime::connection_pool pool_;
+  telemetry::counter& orders_sent_;
+  telemetry::counter& reports_asked_;
+  telemetry::counter& peer_sends_failed_;
+  telemetry::counter& groups_closed_;
+  telemetry::gauge& groups_serving_;
+  telemetry::gauge& configuration_version_;
+};
+
+}  // namespace flamingoshunt::daemon
+
+#endif  // FLAMINGOSHUNT_DAEMON_FLEET_DUTY_H_
--- /dev/null
+++ b/packages/daemon/gateway_node.cc
@@ -0,0 +1,110 @@
+#include "daemon/gateway_node.h"
+
+#include <chrono>
+#include <thread>
+
+#include "telemetry/log.h"
+
+namespace flamingoshunt::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The balancer asks once a second and takes a node out after two misses; until
+// then it sends new callers.
+constexpr milliseconds kBalancerNotice{2400};
+// The end must come before the kill.
+constexpr milliseconds kBeforeKill{350};
+constexpr milliseconds kIdleCheck{20};
+constexpr std::size_t kMaxCallerConnections = 2000;
+
+store::client_options ClientOptions(const settings::platform_access& access) {
+  store::client_options options;
+  options.calls_per_second = access.calls_per_second;
+  options.burst = access.burst;
+  options.backoff_low = access.backoff_low;
+  options.backoff_high = access.backoff_high;
+  // A poll is held for up to 20 s; silent connections are found by the
+  // kernel's probes long before.
+  options.watch_silence = std::chrono::seconds(25);
+  return options;
+}
+
+entry_duty_options EntryOptions(const settings::daemon_settings& settings,
+                                std::uint64_t seed) {
+  entry_duty_options options;
+  options.caller_address = settings.listen.caller.Text();
+  options.ready_address = settings.gateway->ready.Text();
+  options.server.max_header_bytes = settings.sizes.headers;
+  options.server.max_body_bytes = settings.sizes.body;
+  options.server.max_connections = kMaxCallerConnections;
+  options.server.idle_timeout = settings.timeouts.caller_idle;
+  options.seed = seed;
+  return options;
+}
+
+std::uint64_t IncarnationNow(const base::clock& clock) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          clock.WallNow().time_since_epoch())
+          .count());
+}
+
+}  // namespace
+
+gateway_node::gateway_node(const settings::daemon_settings& settings,
+                           const fleet::deployment& deployment,
+                           const gateway::protocol& protocol,
+                           const port_factory& make_port,
+                           const base::clock& clock,
+                           std::uint64_t seed)
+    : settings_(settings),
+      clock_(clock),
+      spans_(settings.telemetry.span_ring),
+      metrics_(registry_),
+      platform_(ClientOptions(settings.platform), make_port, clock, seed),
+      fleet_(settings, deployment, clock, registry_, IncarnationNow(clock)),
+      entry_(EntryOptions(settings, seed), clock, protocol, metrics_),
+      admin_(settings.self.node,
+             settings.listen.admin.Text(),
+             settings.telemetry.otlp_address,
+             registry_,
+             spans_) {
+  fleet_.ConnectPlatform(
+      platform_.Link(fleet_.platform(), fleet_.WatchedKinds()), platform_);
+  fleet_.ConnectEntry(entry_.updates());
+  entry_.ConnectFleet(fleet_.news());
+}
+
+void gateway_node::Start() {
+  telemetry::LogChange("node", "started",
+                       {{"caller", caller_address()},
+                        {"ready", ready_address()},
+                        {"admin", admin_.address()}});
+  platform_.Start();
+  fleet_.Start();
+  entry_.Start();
+  admin_.Start(ready_);
+  ready_.store(true);
+}
+
+bool gateway_node::StopGracefully() {
+  const auto began = clock_.Now();
+  telemetry::LogChange("node", "stopping");
+  ready_.store(false);
+  entry_.BeginStop();
+  fleet_.BeginStop();
+  std::this_thread::sleep_for(kBalancerNotice);
+  entry_.StopAccepting();
+  const auto give_up = began + settings_.gateway->grace - kBeforeKill;
+  bool complete = false;
+  entry_.idle();
+  while (!complete && clock_.Now() < give_up) {
+    std::this_thread::sleep_for(kIdleCheck);
+    complete = entry_.idle();
+  }
+  telemetry::LogChange("node", "stopped", {{"complete", complete}});
+  return complete;
+}
+
+}  // namespace flamingoshunt::daemon
--- a/packages/daemon/housekeeping_duty.cc
+++ b/packages/daemon/housekeeping_duty.cc
@@ -33,7 +33,7 @@
         TakePeerNews(news);
       }) {}
 
-void housekeeping_duty::ConnectPlatform(duty::channel<platform::call>& calls) {
+void housekeeping_duty::ConnectPlatform(duty::channel<store::call>& calls) {
   calls_.emplace(thread_.loop(), calls);
 }
 
@@ -61,7 +61,7 @@
         PerformRoster(roster_.Handle(each, clock_.Now()));
       },
       news);
-  if (const auto* reply = std::get_if<platform::reply>(&news)) {
+  if (const auto* reply = std::get_if<store::reply>(&news)) {
     sweeper_.Handle(*reply, clock_.WallNow());
     Sweep();
   }
--- a/packages/daemon/housekeeping_duty.h
+++ b/packages/daemon/housekeeping_duty.h
@@ -31,7 +31,7 @@
 
   duty::channel<platform_delivery>& platform() { return platform_news_; }
   duty::channel<peer_news>& peers() { return peers_; }
-  void ConnectPlatform(duty::channel<platform::call>& calls);
+  void ConnectPlatform(duty::channel<store::call>& calls);
   void ConnectPeers(duty::channel<membership::publish>& publications);
   void ConnectDispatch(duty::channel<admission::limit_roster>& rosters);
 
@@ -59,7 +59,7 @@
   duty::timer sweep_timer_;
   duty::channel<platform_delivery> platform_news_;
   duty::channel<peer_news> peers_;
-  std::optional<duty::outbox<platform::call>> calls_;
+  std::optional<duty::outbox<store::call>> calls_;
   std::optional<duty::outbox<membership::publish>> publications_;
   std::optional<duty::outbox<admission::limit_roster>> rosters_;
 };
--- a/packages/daemon/io_thread.cc
+++ b/packages/daemon/io_thread.cc
@@ -46,7 +46,7 @@
           [this](dispatch_answer&& answer) { TakeAnswer(std::move(answer)); }),
       replies_(kRingMessages,
                thread_.loop(),
-               [this](platform::reply&& reply) {
+               [this](store::reply&& reply) {
                  const auto call = calls_.find(reply.id);
                  if (call == calls_.end())
                    return;
@@ -71,7 +71,7 @@
   dispatch_.emplace(thread_.loop(), requests);
 }
 
-void io_thread::ConnectPlatform(duty::channel<platform::call>& calls) {
+void io_thread::ConnectPlatform(duty::channel<store::call>& calls) {
   platform_.emplace(thread_.loop(), calls);
 }
 
@@ -240,7 +240,7 @@
 }
 
 void io_thread::CallPlatform(request_session& session,
-                             const platform::call& call) {
+                             const store::call& call) {
   calls_[call.id] = session.id();
   platform_->Send(call);
 }
--- a/packages/daemon/io_thread.h
+++ b/packages/daemon/io_thread.h
@@ -46,10 +46,10 @@
 
   // Wiring; before Start.
   duty::channel<dispatch_answer>& answers() { return answers_; }
-  duty::channel<platform::reply>& platform_replies() { return replies_; }
+  duty::channel<store::reply>& platform_replies() { return replies_; }
   duty::channel<catalogue::snapshot_ptr>& catalogues() { return catalogues_; }
   void ConnectDispatch(duty::channel<dispatch_request>& requests);
-  void ConnectPlatform(duty::channel<platform::call>& calls);
+  void ConnectPlatform(duty::channel<store::call>& calls);
 
   /// @param ready whether /health/ready says so; shared by all threads.
   void Start(const std::atomic<bool>& ready);
@@ -70,8 +70,7 @@
   void StartAttempt(request_session& session,
                     endpoint::attempt attempt) override;
   void CancelAttempt(base::attempt_id id) override;
-  void CallPlatform(request_session& session,
-                    const platform::call& call) override;
+  void CallPlatform(request_session& session, const store::call& call) override;
   void Forget(request_session& session) override;
 
   void Handle(runtime::http_exchange& exchange);
@@ -91,14 +90,14 @@
   attempt_runner attempts_;
   std::unique_ptr<runtime::http_server> server_;
   duty::channel<dispatch_answer> answers_;
-  duty::channel<platform::reply> replies_;
+  duty::channel<store::reply> replies_;
   duty::channel<catalogue::snapshot_ptr> catalogues_;
   std::optional<duty::outbox<dispatch_request>> dispatch_;
-  std::optional<duty::outbox<platform::call>> platform_;
+  std::optional<duty::outbox<store::call>> platform_;
   catalogue::snapshot_ptr catalogue_;
   std::unordered_map<base::request_id, std::shared_ptr<request_session>>
       sessions_;
-  std::unordered_map<platform::call_id, base::request_id> calls_;
+  std::unordered_map<store::call_id, base::request_id> calls_;
   const std::atomic<bool>* ready_ = nullptr;
   bool stopping_ = false;
   std::atomic<bool> idle_{false};
--- a/packages/daemon/kind_sync.h
+++ b/packages/daemon/kind_sync.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::daemon {
 
@@ -17,29 +17,28 @@
 
   /// @return what the event means; after kListComplete, TakeList gives the
   ///         objects, after kChange the event itself is the change.
-  step Take(const platform::watch_event& event) {
+  step Take(const store::watch_event& event) {
     if (complete_)
-      return event.kind == platform::watch_event_kind::kBookmark
-                 ? step::kNothing
-                 : step::kChange;
+      return event.kind == store::watch_event_kind::kBookmark ? step::kNothing
+                                                              : step::kChange;
     switch (event.kind) {
-      case platform::watch_event_kind::kPut:
+      case store::watch_event_kind::kPut:
         collected_[event.changed.key.name] = event.changed;
         return step::kCollecting;
-      case platform::watch_event_kind::kDelete:
+      case store::watch_event_kind::kDelete:
         collected_.erase(event.changed.key.name);
         return step::kCollecting;
-      case platform::watch_event_kind::kBookmark:
+      case store::watch_event_kind::kBookmark:
         complete_ = true;
         return step::kListComplete;
-      case platform::watch_event_kind::kGap:
+      case store::watch_event_kind::kGap:
         break;
     }
     return step::kCollecting;
   }
 
-  std::vector<platform::object> TakeList() {
-    std::vector<platform::object> list;
+  std::vector<store::object> TakeList() {
+    std::vector<store::object> list;
     for (auto& [name, object] : collected_)
       list.push_back(std::move(object));
     collected_.clear();
@@ -48,7 +47,7 @@
 
  private:
   bool complete_ = false;
-  std::map<std::string, platform::object> collected_;
+  std::map<std::string, store::object> collected_;
 };
 
 }  // namespace flamingoshunt::daemon
--- a/packages/daemon/membership_duty.cc
+++ b/packages/daemon/membership_duty.cc
@@ -32,13 +32,12 @@
       thread_("membership"),
       pool_(thread_.loop()),
       timer_(thread_.loop(), [this] { Feed(membership::tick{}); }),
-      platform_news_(
-          kRingMessages,
-          thread_.loop(),
-          [this](platform_delivery&& news) {
-            if (const auto* reply = std::get_if<platform::reply>(&news))
-              Feed(*reply);
-          }) {
+      platform_news_(kRingMessages,
+                     thread_.loop(),
+                     [this](platform_delivery&& news) {
+                       if (const auto* reply = std::get_if<store::reply>(&news))
+                         Feed(*reply);
+                     }) {
   server_ = std::make_unique<runtime::http_server>(
       thread_.loop(), options.listen, ServerOptions(),
       [this](runtime::http_exchange& exchange) { HandlePost(exchange); });
@@ -54,7 +53,7 @@
                .Build();
 }
 
-void membership_duty::ConnectPlatform(duty::channel<platform::call>& calls) {
+void membership_duty::ConnectPlatform(duty::channel<store::call>& calls) {
   calls_.emplace(thread_.loop(), calls);
 }
 
--- a/packages/daemon/membership_duty.h
+++ b/packages/daemon/membership_duty.h
@@ -43,7 +43,7 @@
   membership_duty(const membership_options& options, const base::clock& clock);
 
   duty::channel<platform_delivery>& platform() { return platform_news_; }
-  void ConnectPlatform(duty::channel<platform::call>& calls);
+  void ConnectPlatform(duty::channel<store::call>& calls);
 
   /// Links a duty; before Start only.
   /// @param news gets items and changes of peers.
@@ -80,7 +80,7 @@
   runtime::connection_pool pool_;
   duty::timer timer_;
   duty::channel<platform_delivery> platform_news_;
-  std::optional<duty::outbox<platform::call>> calls_;
+  std::optional<duty::outbox<store::call>> calls_;
   std::vector<std::unique_ptr<duty::channel<membership::publish>>>
       publications_;
   std::vector<std::unique_ptr<duty::outbox<peer_news>>> listeners_;
--- a/packages/daemon/node.cc
+++ b/packages/daemon/node.cc
@@ -3,6 +3,7 @@
 #include <thread>
 #include <utility>
 
+#include "daemon/platform_http.h"
 #include "telemetry/log.h"
 
 namespace flamingoshunt::daemon {
@@ -14,9 +15,8 @@
 constexpr auto kLeaveBound = std::chrono::seconds(2);
 constexpr auto kIdleCheck = std::chrono::milliseconds(20);
 
-platform::client_options ClientOptions(
-    const settings::platform_access& access) {
-  platform::client_options options;
+store::client_options ClientOptions(const settings::platform_access& access) {
+  store::client_options options;
   options.calls_per_second = access.calls_per_second;
   options.burst = access.burst;
   options.backoff_low = access.backoff_low;
@@ -32,6 +32,15 @@
   return texts;
 }
 
+port_factory HttpPort(const settings::daemon_settings& settings) {
+  return [addresses = Texts(settings.platform.addresses),
+          timeout = settings.timeouts.connect](boost::asio::io_context& loop,
+                                               store::port_receiver deliver) {
+    return std::make_unique<platform_http>(loop, addresses, timeout,
+                                           std::move(deliver));
+  };
+}
+
 replica::settings ReplicaSettings(const settings::freshness_bounds& bounds) {
   return replica::settings_builder().WithFreshness(bounds.report).Build();
 }
@@ -119,8 +128,7 @@
       spans_(settings.telemetry.span_ring),
       request_metrics_(metrics_),
       platform_(ClientOptions(settings.platform),
-                Texts(settings.platform.addresses),
-                settings.timeouts.connect,
+                HttpPort(settings),
                 clock,
                 seed),
       membership_(MembershipOptions(settings, incarnation_, seed), clock),
--- a/packages/daemon/platform_duty.cc
+++ b/packages/daemon/platform_duty.cc
@@ -17,11 +17,11 @@
 }  // namespace
 
 struct platform_duty::link {
-  std::unique_ptr<duty::channel<platform::call>> calls;
+  std::unique_ptr<duty::channel<store::call>> calls;
   std::optional<duty::outbox<platform_delivery>> deliveries;
-  std::optional<duty::outbox<platform::reply>> replies;
+  std::optional<duty::outbox<store::reply>> replies;
 
-  void Deliver(platform::reply reply) {
+  void Deliver(store::reply reply) {
     if (replies)
       replies->Send(std::move(reply));
     else
@@ -29,44 +29,42 @@
   }
 };
 
-platform_duty::platform_duty(const platform::client_options& options,
-                             std::vector<std::string> addresses,
-                             base::duration connect_timeout,
+platform_duty::platform_duty(const store::client_options& options,
+                             const port_factory& make_port,
                              const base::clock& clock,
                              std::uint64_t seed)
     : clock_(clock),
       thread_("platform"),
       client_(options, base::random_engine(seed)),
-      port_(thread_.loop(),
-            std::move(addresses),
-            connect_timeout,
-            [this](platform_news news) {
-              std::visit(
-                  [this](const auto& each) {
-                    Perform(client_.Handle(each, clock_.Now()));
-                  },
-                  news);
-            }),
+      port_(make_port(thread_.loop(),
+                      [this](store::port_news news) {
+                        NoteContact(news);
+                        std::visit(
+                            [this](const auto& each) {
+                              Perform(client_.Handle(each, clock_.Now()));
+                            },
+                            news);
+                      })),
       timer_(thread_.loop(), [this] { Perform(client_.Tick(clock_.Now())); }),
       next_call_(kFirstCall) {}
 
 platform_duty::~platform_duty() = default;
 
-duty::channel<platform::call>& platform_duty::AddLink(
+duty::channel<store::call>& platform_duty::AddLink(
     std::unique_ptr<link> added) {
   const std::size_t index = links_.size();
-  added->calls = std::make_unique<duty::channel<platform::call>>(
+  added->calls = std::make_unique<duty::channel<store::call>>(
       kRingCalls, thread_.loop(),
-      [this, index](platform::call&& call) { Submit(index, std::move(call)); });
+      [this, index](store::call&& call) { Submit(index, std::move(call)); });
   links_.push_back(std::move(added));
   return *links_.back()->calls;
 }
 
-duty::channel<platform::call>& platform_duty::Link(
+duty::channel<store::call>& platform_duty::Link(
     duty::channel<platform_delivery>& deliveries,
     const std::vector<std::string>& kinds) {
   for (const std::string& kind : kinds) {
-    const platform::watch_id id(watches_.size() + 1);
+    const store::watch_id id(watches_.size() + 1);
     watches_.emplace_back(id, kind);
     watch_links_[id] = links_.size();
   }
@@ -75,8 +73,8 @@
   return AddLink(std::move(added));
 }
 
-duty::channel<platform::call>& platform_duty::Link(
-    duty::channel<platform::reply>& replies) {
+duty::channel<store::call>& platform_duty::Link(
+    duty::channel<store::reply>& replies) {
   auto added = std::make_unique<link>();
   added->replies.emplace(thread_.loop(), replies);
   return AddLink(std::move(added));
@@ -93,20 +91,29 @@
   });
 }
 
-void platform_duty::Submit(std::size_t link, platform::call call) {
-  const platform::call_id own(next_call_++);
+void platform_duty::NoteContact(const store::port_news& news) {
+  const auto* reply = std::get_if<store::reply>(&news);
+  const bool failed_call =
+      reply && (reply->outcome == store::call_outcome::kUnavailable ||
+                reply->outcome == store::call_outcome::kUnknown);
+  if (failed_call || std::holds_alternative<store::watch_ended>(news))
+    last_failure_.store(clock_.Now());
+}
+
+void platform_duty::Submit(std::size_t link, store::call call) {
+  const store::call_id own(next_call_++);
   callers_[own] = {link, call.id};
   call.id = own;
   Perform(client_.Submit(call, clock_.Now()));
 }
 
-void platform_duty::Perform(const platform::client_effects& effects) {
+void platform_duty::Perform(const store::client_effects& effects) {
   for (const auto& call : effects.send)
-    port_.Send(call);
+    port_->Send(call);
   for (const auto& watch : effects.start_watches)
-    port_.StartWatch(watch);
+    port_->StartWatch(watch);
   for (const auto& watch : effects.stop_watches)
-    port_.StopWatch(watch);
+    port_->StopWatch(watch);
   for (const auto& reply : effects.replies)
     DeliverReply(reply);
   for (const auto& event : effects.events)
@@ -116,7 +123,7 @@
   timer_.Arm(client_.NextTimer(clock_.Now()));
 }
 
-void platform_duty::DeliverReply(platform::reply reply) {
+void platform_duty::DeliverReply(store::reply reply) {
   const auto found = callers_.find(reply.id);
   if (found == callers_.end())
     return;
@@ -126,7 +133,7 @@
   links_[to.link]->Deliver(std::move(reply));
 }
 
-void platform_duty::DeliverEvent(const platform::watch_event& event) {
+void platform_duty::DeliverEvent(const store::watch_event& event) {
   const auto found = watch_links_.find(event.id);
   if (found != watch_links_.end())
     links_[found->second]->deliveries->Send(event);
--- a/packages/daemon/platform_duty.h
+++ b/packages/daemon/platform_duty.h
@@ -5,6 +5,7 @@
 #define FLAMINGOSHUNT_DAEMON_PLATFORM_DUTY_H_
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -12,21 +13,25 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "daemon/platform_http.h"
 #include "duty/duty_thread.h"
 #include "duty/outbox.h"
 #include "duty/timer.h"
-#include "platform/client.h"
+#include "store/client.h"
+#include "store/platform_port.h"
 
 namespace flamingoshunt::daemon {
 
-using platform_delivery = std::variant<platform::reply, platform::watch_event>;
+/// Makes the port that carries the calls, on the duty's loop.
+using port_factory = std::function<std::unique_ptr<store::platform_port>(
+    boost::asio::io_context& loop,
+    store::port_receiver deliver)>;
+
+using platform_delivery = std::variant<store::reply, store::watch_event>;
 
 class platform_duty {
  public:
-  platform_duty(const platform::client_options& options,
-                std::vector<std::string> addresses,
-                base::duration connect_timeout,
+  platform_duty(const store::client_options& options,
+                const port_factory& make_port,
                 const base::clock& clock,
                 std::uint64_t seed);
 
@@ -36,18 +41,20 @@
   /// @param deliveries the consumer's channel for replies and events.
   /// @param kinds the kinds of object that it watches.
   /// @return the channel for its calls.
-  duty::channel<platform::call>& Link(
-      duty::channel<platform_delivery>& deliveries,
-      const std::vector<std::string>& kinds);
+  duty::channel<store::call>& Link(duty::channel<platform_delivery>& deliveries,
+                                   const std::vector<std::string>& kinds);
 
   /// Adds a link for calls only.
-  duty::channel<platform::call>& Link(duty::channel<platform::reply>& replies);
+  duty::channel<store::call>& Link(duty::channel<store::reply>& replies);
 
   void Start();
   void Stop() { thread_.Stop(); }
 
   /// @return whether the platform answered last; from any thread.
   bool available() const { return available_.load(); }
+  /// @return when a call or watch last failed, by the duty's clock; from any
+  ///         thread.
+  base::time_point last_failure() const { return last_failure_.load(); }
   /// @return calls and watches sent since the start; from any thread.
   std::uint64_t sent() const { return sent_.load(); }
 
@@ -55,26 +62,28 @@
   struct link;
   struct caller {
     std::size_t link = 0;
-    platform::call_id id;
+    store::call_id id;
   };
 
-  duty::channel<platform::call>& AddLink(std::unique_ptr<link> added);
-  void Submit(std::size_t link, platform::call call);
-  void Perform(const platform::client_effects& effects);
-  void DeliverReply(platform::reply reply);
-  void DeliverEvent(const platform::watch_event& event);
+  duty::channel<store::call>& AddLink(std::unique_ptr<link> added);
+  void NoteContact(const store::port_news& news);
+  void Submit(std::size_t link, store::call call);
+  void Perform(const store::client_effects& effects);
+  void DeliverReply(store::reply reply);
+  void DeliverEvent(const store::watch_event& event);
 
   const base::clock& clock_;
   duty::duty_thread thread_;
-  platform::client client_;
-  platform_http port_;
+  store::client client_;
+  std::unique_ptr<store::platform_port> port_;
   duty::timer timer_;
   std::vector<std::unique_ptr<link>> links_;
-  std::unordered_map<platform::watch_id, std::size_t> watch_links_;
-  std::vector<std::pair<platform::watch_id, std::string>> watches_;
-  std::unordered_map<platform::call_id, caller> callers_;
+  std::unordered_map<store::watch_id, std::size_t> watch_links_;
+  std::vector<std::pair<store::watch_id, std::string>> watches_;
+  std::unordered_map<store::call_id, caller> callers_;
   std::uint64_t next_call_ = 1;
   std::atomic<bool> available_{false};
+  std::atomic<base::time_point> last_failure_{base::time_point::min()};
   std::atomic<std::uint64_t> sent_{0};
 };
 
--- a/packages/daemon/platform_http.cc
+++ b/packages/daemon/platform_http.cc
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "platform/http_codec.h"
 #include "runtime/fiber_scheduler.h"
+#include "store/http_codec.h"
 
 namespace flamingoshunt::daemon {
 namespace {
@@ -12,7 +12,7 @@
 // bound of its own.
 constexpr base::duration kWatchSilence = std::chrono::seconds(60);
 
-runtime::http_request ToHttp(const platform::http_request& encoded,
+runtime::http_request ToHttp(const store::http_request& encoded,
                              const std::string& host) {
   runtime::http_request message = runtime::MakeRequest(
       encoded.method, encoded.target, host, encoded.body, "application/json");
@@ -21,9 +21,9 @@
   return message;
 }
 
-platform::http_response FromHttp(const runtime::http_response_head& head,
-                                 std::string body) {
-  platform::http_response response;
+store::http_response FromHttp(const runtime::http_response_head& head,
+                              std::string body) {
+  store::http_response response;
   response.status = head.status;
   response.body = std::move(body);
   for (const auto& [name, value] : head.fields)
@@ -36,7 +36,7 @@
 platform_http::platform_http(boost::asio::io_context& loop,
                              std::vector<std::string> addresses,
                              base::duration connect_timeout,
-                             std::function<void(platform_news)> deliver)
+                             store::port_receiver deliver)
     : addresses_(std::move(addresses)),
       connect_timeout_(connect_timeout),
       deliver_(std::move(deliver)),
@@ -51,53 +51,52 @@
   }
 }
 
-void platform_http::Send(const platform::call& request) {
+void platform_http::Send(const store::call& request) {
   runtime::SpawnFiber([this, request] { deliver_(Perform(request)); });
 }
 
-platform::reply platform_http::Perform(const platform::call& request) {
+store::reply platform_http::Perform(const store::call& request) {
   bool may_have_left = false;
   try {
     auto connection = pool_.TakeIdle(addresses_[current_]);
     if (!connection)
       connection = Open();
-    auto message = ToHttp(platform::EncodeCall(request), connection->address());
+    auto message = ToHttp(store::EncodeCall(request), connection->address());
     may_have_left = true;
     connection->Send(message, request.timeout);
     const auto head = connection->ReadHead(request.timeout);
     std::string body;
     while (connection->ReadSome(body, request.timeout)) {
     }
-    platform::reply reply =
-        platform::DecodeReply(request, FromHttp(head, std::move(body)));
+    store::reply reply =
+        store::DecodeReply(request, FromHttp(head, std::move(body)));
     reply.id = request.id;
     pool_.Return(std::move(connection));
     return reply;
   } catch (const runtime::transport_error&) {
-    platform::reply reply =
-        platform::ReplyWithoutResponse(request, may_have_left);
+    store::reply reply = store::ReplyWithoutResponse(request, may_have_left);
     reply.id = request.id;
     return reply;
   }
 }
 
-void platform_http::StartWatch(const platform::watch_request& request) {
+void platform_http::StartWatch(const store::watch_request& request) {
   runtime::SpawnFiber([this, request] {
     try {
       RunWatch(request);
     } catch (const runtime::transport_error&) {
       // Told below; the client resumes after the last revision it saw.
-    } catch (const platform::malformed_message&) {
+    } catch (const store::malformed_message&) {
     }
     watches_.erase(request.id);
-    deliver_(platform::watch_ended{request.id});
+    deliver_(store::watch_ended{request.id});
   });
 }
 
-void platform_http::RunWatch(const platform::watch_request& request) {
+void platform_http::RunWatch(const store::watch_request& request) {
   const auto connection = Open();
   watches_[request.id] = connection.get();
-  auto message = ToHttp(platform::EncodeWatch(request), connection->address());
+  auto message = ToHttp(store::EncodeWatch(request), connection->address());
   connection->Send(message, connect_timeout_);
   if (connection->ReadHead(kWatchSilence).status != 200)
     return;
@@ -107,14 +106,14 @@
     for (auto end = lines.find('\n'); end != std::string::npos;
          end = lines.find('\n', start)) {
       const std::string_view line(lines.data() + start, end - start);
-      deliver_(platform::DecodeWatchEvent(request, line));
+      deliver_(store::DecodeWatchEvent(request, line));
       start = end + 1;
     }
     lines.erase(0, start);
   }
 }
 
-void platform_http::StopWatch(platform::watch_id id) {
+void platform_http::StopWatch(store::watch_id id) {
   const auto found = watches_.find(id);
   if (found != watches_.end())
     found->second->Close();
--- a/packages/daemon/platform_http.h
+++ b/packages/daemon/platform_http.h
@@ -4,22 +4,17 @@
 #ifndef FLAMINGOSHUNT_DAEMON_PLATFORM_HTTP_H_
 #define FLAMINGOSHUNT_DAEMON_PLATFORM_HTTP_H_
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <variant>
 #include <vector>
 
-#include "platform/platform_port.h"
 #include "runtime/http_client.h"
+#include "store/platform_port.h"
 
 namespace flamingoshunt::daemon {
 
-using platform_news =
-    std::variant<platform::reply, platform::watch_event, platform::watch_ended>;
-
-class platform_http final : public platform::platform_port {
+class platform_http final : public store::platform_port {
  public:
   /// @param addresses of the platform, "IP:port"; the next is tried after a
   ///        connection to one fails.
@@ -27,23 +22,23 @@
   platform_http(boost::asio::io_context& loop,
                 std::vector<std::string> addresses,
                 base::duration connect_timeout,
-                std::function<void(platform_news)> deliver);
+                store::port_receiver deliver);
 
-  void Send(const platform::call& request) override;
-  void StartWatch(const platform::watch_request& request) override;
-  void StopWatch(platform::watch_id id) override;
+  void Send(const store::call& request) override;
+  void StartWatch(const store::watch_request& request) override;
+  void StopWatch(store::watch_id id) override;
 
  private:
-  platform::reply Perform(const platform::call& request);
-  void RunWatch(const platform::watch_request& request);
+  store::reply Perform(const store::call& request);
+  void RunWatch(const store::watch_request& request);
   std::unique_ptr<runtime::http_connection> Open();
 
   std::vector<std::string> addresses_;
   std::size_t current_ = 0;
   base::duration connect_timeout_;
-  std::function<void(platform_news)> deliver_;
+  store::port_receiver deliver_;
   runtime::connection_pool pool_;
-  std::map<platform::watch_id, runtime::http_connection*> watches_;
+  std::map<store::watch_id, runtime::http_connection*> watches_;
 };
 
 }  // namespace flamingoshunt::daemon
--- a/packages/daemon/replica_duty.cc
+++ b/packages/daemon/replica_duty.cc
@@ -46,10 +46,10 @@
       platform_news_(kRingMessages,
                      thread_.loop(),
                      [this](platform_delivery&& news) {
-                       if (auto* reply = std::get_if<platform::reply>(&news))
+                       if (auto* reply = std::get_if<store::reply>(&news))
                          Feed(*reply);
                        else
-                         TakeEvent(std::get<platform::watch_event>(news));
+                         TakeEvent(std::get<store::watch_event>(news));
                      }),
       catalogues_(kRingMessages,
                   thread_.loop(),
@@ -65,7 +65,7 @@
                 thread_.loop(),
                 [this](replica::replica_failed&& failed) { Feed(failed); }) {}
 
-void replica_duty::ConnectPlatform(duty::channel<platform::call>& calls) {
+void replica_duty::ConnectPlatform(duty::channel<store::call>& calls) {
   calls_.emplace(thread_.loop(), calls);
 }
 
@@ -121,7 +121,7 @@
   metrics_.instances.Set(static_cast<std::int64_t>(listed_.size()));
 }
 
-void replica_duty::TakeEvent(const platform::watch_event& event) {
+void replica_duty::TakeEvent(const store::watch_event& event) {
   const std::string& kind = event.changed.key.kind;
   if (kind == "instance")
     TakeInstance(event);
@@ -131,7 +131,7 @@
     TakeDrain(event);
 }
 
-void replica_duty::TakeInstance(const platform::watch_event& event) {
+void replica_duty::TakeInstance(const store::watch_event& event) {
   try {
     switch (instances_.Take(event)) {
       case kind_sync::step::kListComplete: {
@@ -145,7 +145,7 @@
         return;
       }
       case kind_sync::step::kChange: {
-        const bool gone = event.kind == platform::watch_event_kind::kDelete;
+        const bool gone = event.kind == store::watch_event_kind::kDelete;
         const base::instance_id id(event.changed.key.name);
         if (!gone)
           listed_[id] = endpoint::DecodeInstance(id.str(), event.changed.value);
@@ -169,14 +169,14 @@
   }
 }
 
-void replica_duty::TakeAllocation(const platform::watch_event& event) {
+void replica_duty::TakeAllocation(const store::watch_event& event) {
   switch (allocations_.Take(event)) {
     case kind_sync::step::kListComplete:
       Feed(replica::allocations_listed{allocations_.TakeList()});
       return;
     case kind_sync::step::kChange:
       Feed(replica::allocation_changed{
-          event.changed, event.kind == platform::watch_event_kind::kDelete});
+          event.changed, event.kind == store::watch_event_kind::kDelete});
       return;
     case kind_sync::step::kCollecting:
     case kind_sync::step::kNothing:
@@ -184,7 +184,7 @@
   }
 }
 
-void replica_duty::TakeDrain(const platform::watch_event& event) {
+void replica_duty::TakeDrain(const store::watch_event& event) {
   switch (drains_.Take(event)) {
     case kind_sync::step::kListComplete: {
       replica::drains_listed list;
@@ -194,9 +194,8 @@
       return;
     }
     case kind_sync::step::kChange:
-      Feed(replica::drain_changed{
-          base::instance_id(event.changed.key.name),
-          event.kind == platform::watch_event_kind::kPut});
+      Feed(replica::drain_changed{base::instance_id(event.changed.key.name),
+                                  event.kind == store::watch_event_kind::kPut});
       return;
     case kind_sync::step::kCollecting:
     case kind_sync::step::kNothing:
--- a/packages/daemon/replica_duty.h
+++ b/packages/daemon/replica_duty.h
@@ -35,7 +35,7 @@
   duty::channel<catalogue_update>& catalogues() { return catalogues_; }
   duty::channel<peer_news>& peers() { return peers_; }
   duty::channel<replica::replica_failed>& failures() { return failures_; }
-  void ConnectPlatform(duty::channel<platform::call>& calls);
+  void ConnectPlatform(duty::channel<store::call>& calls);
   void ConnectDispatch(duty::channel<replica_news>& news);
   void ConnectPeers(duty::channel<membership::publish>& publications);
 
@@ -52,10 +52,10 @@
     Perform(machine_.Handle(input, clock_.Now()));
   }
   void Perform(replica::effects effects);
-  void TakeEvent(const platform::watch_event& event);
-  void TakeInstance(const platform::watch_event& event);
-  void TakeAllocation(const platform::watch_event& event);
-  void TakeDrain(const platform::watch_event& event);
+  void TakeEvent(const store::watch_event& event);
+  void TakeInstance(const store::watch_event& event);
+  void TakeAllocation(const store::watch_event& event);
+  void TakeDrain(const store::watch_event& event);
   void NoteServing(const replica::serving_replica& replica);
 
   const base::clock& clock_;
@@ -68,7 +68,7 @@
   duty::channel<catalogue_update> catalogues_;
   duty::channel<peer_news> peers_;
   duty::channel<replica::replica_failed> failures_;
-  std::optional<duty::outbox<platform::call>> calls_;
+  std::optional<duty::outbox<store::call>> calls_;
   std::optional<duty::outbox<replica_news>> news_;
   std::optional<duty::outbox<membership::publish>> publications_;
   kind_sync instances_;
--- a/packages/daemon/request_session.h
+++ b/packages/daemon/request_session.h
@@ -34,7 +34,7 @@
                             endpoint::attempt attempt) = 0;
   virtual void CancelAttempt(base::attempt_id id) = 0;
   virtual void CallPlatform(request_session& session,
-                            const platform::call& call) = 0;
+                            const store::call& call) = 0;
   /// The session will take no more inputs.
   virtual void Forget(request_session& session) = 0;
 };
--- a/packages/delivery/claim_record.cc
+++ b/packages/delivery/claim_record.cc
@@ -109,7 +109,7 @@
   return std::string("claim-") + digits.data();
 }
 
-platform::object_key ClaimKey(const caller::request& request) {
+store::object_key ClaimKey(const caller::request& request) {
   const std::string hash = base::Sha256Hex(Joined(
       {request.workspace.str(), request.entry.str(), request.idempotency_key}));
   return {"claim-" + hash.substr(0, kDigitsOfBucket), hash};
--- a/packages/delivery/claim_record.h
+++ b/packages/delivery/claim_record.h
@@ -16,7 +16,7 @@
 #include "base/clock.h"
 #include "caller/messages.h"
 #include "delivery/answer_assembler.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::delivery {
 
@@ -40,7 +40,7 @@
 std::string ClaimKind(int bucket);
 
 /// @return the name of the claim for the request's workspace, entry and key.
-platform::object_key ClaimKey(const caller::request& request);
+store::object_key ClaimKey(const caller::request& request);
 
 /// @return what must be equal for two calls to be the same.
 std::string CallHash(const caller::request& request);
--- a/packages/delivery/claim_session.cc
+++ b/packages/delivery/claim_session.cc
@@ -4,8 +4,8 @@
 
 namespace flamingoshunt::delivery {
 
-using platform::call_outcome;
-using platform::call_priority;
+using store::call_outcome;
+using store::call_priority;
 
 claim_session::claim_session(const caller::request& request,
                              const claim_settings& settings,
@@ -33,9 +33,9 @@
 claim_step claim_session::Read(call_priority priority) {
   awaited_ = ids_.NextCall();
   awaits_read_ = true;
-  platform::call call;
+  store::call call;
   call.id = awaited_;
-  call.op = platform::operation::kGet;
+  call.op = store::operation::kGet;
   call.key = key_;
   call.priority = priority;
   call.timeout = settings_.call_timeout;
@@ -47,10 +47,9 @@
                                 call_priority priority) {
   awaited_ = ids_.NextCall();
   awaits_read_ = false;
-  platform::call call;
+  store::call call;
   call.id = awaited_;
-  call.op =
-      expected ? platform::operation::kUpdate : platform::operation::kCreate;
+  call.op = expected ? store::operation::kUpdate : store::operation::kCreate;
   call.key = key_;
   call.expected = expected.value_or(base::revision());
   call.value = WriteClaim(record);
@@ -92,7 +91,7 @@
   return handlers;
 }
 
-claim_step claim_session::Handle(const platform::reply& reply,
+claim_step claim_session::Handle(const store::reply& reply,
                                  base::time_point now) {
   if (reply.id != awaited_ || phase_ == phase::kIdle)
     return {};
@@ -110,7 +109,7 @@
                                         : call_priority::kRequestPath);
 }
 
-claim_step claim_session::OnLooked(const platform::reply& reply,
+claim_step claim_session::OnLooked(const store::reply& reply,
                                    base::time_point now) {
   if (reply.outcome == call_outcome::kNotFound)
     return Verdict(claim_verdict::kFree);
@@ -120,7 +119,7 @@
 }
 
 // What a claim that is not ours says about this call.
-claim_step claim_session::Judge(const platform::object& object,
+claim_step claim_session::Judge(const store::object& object,
                                 base::time_point now) {
   const auto found = ReadClaim(object.value);
   if (!found)
@@ -143,7 +142,7 @@
   return Verdict(recent ? claim_verdict::kInProgress : claim_verdict::kUnknown);
 }
 
-claim_step claim_session::OnTaken(const platform::reply& reply,
+claim_step claim_session::OnTaken(const store::reply& reply,
                                   base::time_point now) {
   switch (reply.outcome) {
     case call_outcome::kOk:
@@ -175,7 +174,7 @@
   return Verdict(in_time ? claim_verdict::kOurs : claim_verdict::kUnsettled);
 }
 
-claim_step claim_session::OnSettled(const platform::reply& reply,
+claim_step claim_session::OnSettled(const store::reply& reply,
                                     base::time_point now) {
   ++reads_;
   if (reply.outcome == call_outcome::kOk && reply.current)
@@ -186,7 +185,7 @@
                          : SettleLater(now);
 }
 
-claim_step claim_session::SettleFound(const platform::object& object,
+claim_step claim_session::SettleFound(const store::object& object,
                                       base::time_point now) {
   const auto found = ReadClaim(object.value);
   if (found && found->token == record_.token) {
@@ -231,14 +230,14 @@
   return Write(record_, expected, call_priority::kBackground);
 }
 
-claim_step claim_session::OnClosing(const platform::reply& reply,
+claim_step claim_session::OnClosing(const store::reply& reply,
                                     base::time_point now) {
   if (now - closing_since_ > settings_.closing_patience)
     return Verdict(claim_verdict::kClosed);
   return awaits_read_ ? OnClosingRead(reply, now) : OnClosingWrite(reply, now);
 }
 
-claim_step claim_session::OnClosingWrite(const platform::reply& reply,
+claim_step claim_session::OnClosingWrite(const store::reply& reply,
                                          base::time_point now) {
   if (reply.outcome == call_outcome::kOk ||
       reply.outcome == call_outcome::kInvalid)
@@ -257,7 +256,7 @@
 //   our token, claimed                         write the outcome over it
 //   the refused claim that we meant to take    write over it; ours then fails
 //   anything else                              our write can no longer count
-claim_step claim_session::OnClosingRead(const platform::reply& reply,
+claim_step claim_session::OnClosingRead(const store::reply& reply,
                                         base::time_point now) {
   const bool may_still_come = own_write_ == own_write::kPending;
   if (reply.outcome == call_outcome::kNotFound)
--- a/packages/delivery/claim_session.h
+++ b/packages/delivery/claim_session.h
@@ -18,7 +18,7 @@
 #include "delivery/claim_record.h"
 #include "delivery/id_source.h"
 #include "delivery/settings.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::delivery {
 
@@ -36,7 +36,7 @@
 
 struct claim_step {
   claim_verdict verdict = claim_verdict::kPending;
-  std::vector<platform::call> calls;  ///< To send in order.
+  std::vector<store::call> calls;  ///< To send in order.
 };
 
 class claim_session {
@@ -58,7 +58,7 @@
                    base::time_point now);
 
   /// Replies to other calls are ignored.
-  claim_step Handle(const platform::reply& reply, base::time_point now);
+  claim_step Handle(const store::reply& reply, base::time_point now);
   claim_step Tick(base::time_point now);
 
   std::optional<base::time_point> next_timer() const { return timer_; }
@@ -70,32 +70,32 @@
   // What is known of our own write to take the claim.
   enum class own_write { kNone, kPending, kApplied };
 
-  using reply_handler = claim_step (claim_session::*)(const platform::reply&,
+  using reply_handler = claim_step (claim_session::*)(const store::reply&,
                                                       base::time_point);
   static const std::vector<reply_handler>& ReplyHandlers();
 
-  claim_step Read(platform::call_priority priority);
+  claim_step Read(store::call_priority priority);
   claim_step Write(const claim_record& record,
                    std::optional<base::revision> expected,
-                   platform::call_priority priority);
+                   store::call_priority priority);
   claim_step Pause(base::time_point now);
   claim_step Verdict(claim_verdict verdict);
 
-  claim_step OnLooked(const platform::reply& reply, base::time_point now);
-  claim_step OnTaken(const platform::reply& reply, base::time_point now);
-  claim_step OnSettled(const platform::reply& reply, base::time_point now);
-  claim_step OnClosing(const platform::reply& reply, base::time_point now);
-  claim_step OnClosingWrite(const platform::reply& reply, base::time_point now);
-  claim_step OnClosingRead(const platform::reply& reply, base::time_point now);
+  claim_step OnLooked(const store::reply& reply, base::time_point now);
+  claim_step OnTaken(const store::reply& reply, base::time_point now);
+  claim_step OnSettled(const store::reply& reply, base::time_point now);
+  claim_step OnClosing(const store::reply& reply, base::time_point now);
+  claim_step OnClosingWrite(const store::reply& reply, base::time_point now);
+  claim_step OnClosingRead(const store::reply& reply, base::time_point now);
 
-  claim_step Judge(const platform::object& object, base::time_point now);
-  claim_step SettleFound(const platform::object& object, base::time_point now);
+  claim_step Judge(const store::object& object, base::time_point now);
+  claim_step SettleFound(const store::object& object, base::time_point now);
   claim_step SettleLater(base::time_point now);
   claim_step Hold(base::revision version, base::time_point now);
   claim_step WriteClosing(std::optional<base::revision> expected);
   base::wall_time WallAt(base::time_point now) const;
 
-  const platform::object_key key_;
+  const store::object_key key_;
   const std::string call_hash_;
   const claim_settings& settings_;
   id_source& ids_;
@@ -103,7 +103,7 @@
   const base::wall_time accepted_wall_;
 
   phase phase_ = phase::kIdle;
-  platform::call_id awaited_;
+  store::call_id awaited_;
   bool awaits_read_ = false;
   std::optional<base::time_point> timer_;
 
--- a/packages/delivery/claim_sweeper.cc
+++ b/packages/delivery/claim_sweeper.cc
@@ -41,8 +41,8 @@
   return expired_.empty() ? list_at_ : std::min(list_at_, delete_at_);
 }
 
-std::vector<platform::call> claim_sweeper::Tick(base::time_point now) {
-  std::vector<platform::call> calls;
+std::vector<store::call> claim_sweeper::Tick(base::time_point now) {
+  std::vector<store::call> calls;
   if (!leading_)
     return calls;
   if (now >= list_at_)
@@ -52,29 +52,29 @@
   return calls;
 }
 
-platform::call claim_sweeper::ListNext(base::time_point now) {
+store::call claim_sweeper::ListNext(base::time_point now) {
   list_at_ = now + settings_.round / kClaimBuckets;
   listing_ = ids_.NextCall();
-  platform::call call;
+  store::call call;
   call.id = listing_;
-  call.op = platform::operation::kList;
+  call.op = store::operation::kList;
   call.key.kind = ClaimKind(bucket_);
-  call.priority = platform::call_priority::kBackground;
+  call.priority = store::call_priority::kBackground;
   call.timeout = settings_.call_timeout;
   bucket_ = (bucket_ + 1) % kClaimBuckets;
   return call;
 }
 
-platform::call claim_sweeper::DeleteNext(base::time_point now) {
+store::call claim_sweeper::DeleteNext(base::time_point now) {
   delete_at_ = now + base::duration(std::chrono::seconds(1)) /
                          settings_.deletions_per_second;
   deleting_ = ids_.NextCall();
-  platform::call call;
+  store::call call;
   call.id = deleting_;
-  call.op = platform::operation::kDelete;
+  call.op = store::operation::kDelete;
   call.key = expired_.front().key;
   call.expected = expired_.front().version;
-  call.priority = platform::call_priority::kBackground;
+  call.priority = store::call_priority::kBackground;
   call.timeout = settings_.call_timeout;
   expired_.pop_front();
   return call;
@@ -82,21 +82,21 @@
 
 // A deletion that failed or whose answer was lost is not repeated: the next
 // round sees whether the claim is still there.
-void claim_sweeper::Handle(const platform::reply& reply,
+void claim_sweeper::Handle(const store::reply& reply,
                            base::wall_time wall_now) {
   if (reply.id == deleting_ || reply.id == listing_)
-    counters_.failed_calls += reply.outcome != platform::call_outcome::kOk;
-  if (reply.outcome != platform::call_outcome::kOk)
+    counters_.failed_calls += reply.outcome != store::call_outcome::kOk;
+  if (reply.outcome != store::call_outcome::kOk)
     return;
   if (reply.id == deleting_)
     ++counters_.deleted;
   if (reply.id != listing_)
     return;
-  for (const platform::object& object : reply.listed)
+  for (const store::object& object : reply.listed)
     Consider(object, wall_now);
 }
 
-void claim_sweeper::Consider(const platform::object& object,
+void claim_sweeper::Consider(const store::object& object,
                              base::wall_time wall_now) {
   ++counters_.listed;
   const auto claim = ReadClaim(object.value);
--- a/packages/delivery/claim_sweeper.h
+++ b/packages/delivery/claim_sweeper.h
@@ -13,7 +13,7 @@
 
 #include "base/clock.h"
 #include "delivery/id_source.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::delivery {
 
@@ -44,24 +44,24 @@
   /// work at once.
   void SetLeading(bool leading, base::time_point now);
 
-  std::vector<platform::call> Tick(base::time_point now);
+  std::vector<store::call> Tick(base::time_point now);
 
   /// Replies to other calls are ignored.
   /// @param wall_now time of day, with which the ends of claims are compared.
-  void Handle(const platform::reply& reply, base::wall_time wall_now);
+  void Handle(const store::reply& reply, base::wall_time wall_now);
 
   std::optional<base::time_point> NextTimer() const;
   const sweep_counters& counters() const { return counters_; }
 
  private:
   struct expired {
-    platform::object_key key;
+    store::object_key key;
     base::revision version;
   };
 
-  platform::call ListNext(base::time_point now);
-  platform::call DeleteNext(base::time_point now);
-  void Consider(const platform::object& object, base::wall_time wall_now);
+  store::call ListNext(base::time_point now);
+  store::call DeleteNext(base::time_point now);
+  void Consider(const store::object& object, base::wall_time wall_now);
 
   const sweep_settings settings_;
   id_source& ids_;
@@ -69,8 +69,8 @@
   int bucket_ = 0;
   base::time_point list_at_;
   base::time_point delete_at_;
-  platform::call_id listing_;
-  platform::call_id deleting_;
+  store::call_id listing_;
+  store::call_id deleting_;
   std::deque<expired> expired_;
   sweep_counters counters_;
 };
--- a/packages/delivery/id_source.cc
+++ b/packages/delivery/id_source.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "base/hash.h"
-#include "platform/call_ids.h"
+#include "store/call_ids.h"
 
 namespace flamingoshunt::delivery {
 namespace {
@@ -15,10 +15,9 @@
 constexpr int kCallHashBits = 16;
 
 std::uint64_t FirstCall(std::uint64_t hash) {
-  const auto owner =
-      static_cast<std::uint64_t>(platform::call_owner::kDelivery);
+  const auto owner = static_cast<std::uint64_t>(store::call_owner::kDelivery);
   const std::uint64_t thread = hash >> (64 - kCallHashBits);
-  return owner << platform::kOwnerShift | thread << kCallCounterBits;
+  return owner << store::kOwnerShift | thread << kCallCounterBits;
 }
 
 }  // namespace
@@ -34,8 +33,8 @@
   return base::attempt_id(++next_attempt_);
 }
 
-platform::call_id id_source::NextCall() {
-  return platform::call_id(++next_call_);
+store::call_id id_source::NextCall() {
+  return store::call_id(++next_call_);
 }
 
 std::string id_source::NextClaimToken() {
--- a/packages/delivery/id_source.h
+++ b/packages/delivery/id_source.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "base/ids.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::delivery {
 
@@ -20,7 +20,7 @@
 
   base::attempt_id NextAttempt();
   /// @return an id whose owner is delivery, see platform/call_ids.h.
-  platform::call_id NextCall();
+  store::call_id NextCall();
 
   /// @return a text that names one try to take one claim.
   std::string NextClaimToken();
--- a/packages/delivery/messages.h
+++ b/packages/delivery/messages.h
@@ -13,7 +13,7 @@
 #include "base/clock.h"
 #include "caller/messages.h"
 #include "endpoint/messages.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::delivery {
 
@@ -41,7 +41,7 @@
                            endpoint::answer_chunk,
                            endpoint::answer_end,
                            endpoint::answer_broken,
-                           platform::reply>;
+                           store::reply>;
 
 // Effects.
 
@@ -64,7 +64,7 @@
   base::attempt_id attempt;
 };
 struct call_platform {
-  platform::call call;
+  store::call call;
 };
 /// Replaces any earlier timer of this request.
 struct set_timer {
--- a/packages/delivery/request_machine.h
+++ b/packages/delivery/request_machine.h
@@ -66,7 +66,7 @@
                                handler<endpoint::answer_chunk>,
                                handler<endpoint::answer_end>,
                                handler<endpoint::answer_broken>,
-                               handler<platform::reply>>;
+                               handler<store::reply>>;
 
   request_machine(const settings& settings,
                   id_source& ids,
@@ -89,7 +89,7 @@
   void OnChunk(const endpoint::answer_chunk& message);
   void OnEnd(const endpoint::answer_end& message);
   void OnBroken(const endpoint::answer_broken& message);
-  void OnReply(const platform::reply& message);
+  void OnReply(const store::reply& message);
 
   // Places.
   void Ask();
--- a/packages/delivery/request_machine_claim.cc
+++ b/packages/delivery/request_machine_claim.cc
@@ -7,12 +7,12 @@
 
 namespace flamingoshunt::delivery {
 
-void request_machine::OnReply(const platform::reply& message) {
+void request_machine::OnReply(const store::reply& message) {
   Perform(claim_->Handle(message, now_));
 }
 
 void request_machine::Perform(const claim_step& step) {
-  for (const platform::call& call : step.calls)
+  for (const store::call& call : step.calls)
     out_.push_back(call_platform{call});
   if (step.verdict != claim_verdict::kPending)
     OnClaimVerdict(step.verdict);
--- a/packages/delivery/tests/correctness/expired_claims_are_swept.cc
+++ b/packages/delivery/tests/correctness/expired_claims_are_swept.cc
@@ -23,8 +23,8 @@
     request.idempotency_key = key;
     claim_record record{"token", "call", claim_state::kDone, {}, {}, {}};
     record.expires = base::wall_time(term);
-    platform::call call;
-    call.op = platform::operation::kCreate;
+    store::call call;
+    call.op = store::operation::kCreate;
     call.key = ClaimKey(request);
     call.value = WriteClaim(record);
     store.Call(call, store_fault::kNone);
@@ -36,8 +36,8 @@
     while (sweeper.NextTimer() &&
            *sweeper.NextTimer() < base::time_point(end)) {
       now = std::max(now, *sweeper.NextTimer());
-      for (const platform::call& call : sweeper.Tick(now)) {
-        writes += call.op == platform::operation::kDelete;
+      for (const store::call& call : sweeper.Tick(now)) {
+        writes += call.op == store::operation::kDelete;
         const bool fails = ++calls % 7 == 0;
         sweeper.Handle(store.Call(call, fails ? store_fault::kLostBefore
                                               : store_fault::kNone),
@@ -80,13 +80,13 @@
   const auto listed = world.store.Call(calls[0], store_fault::kNone);
   REQUIRE_FALSE(listed.listed.empty());
   world.sweeper.Handle(listed, base::wall_time(hours(24)));
-  platform::call update;
-  update.op = platform::operation::kUpdate;
+  store::call update;
+  update.op = store::operation::kUpdate;
   update.key = listed.listed[0].key;
   update.expected = listed.listed[0].version;
   update.value = listed.listed[0].value;
   world.store.Call(update, store_fault::kNone);
-  for (const platform::call& call : world.sweeper.Tick(world.now + seconds(1)))
+  for (const store::call& call : world.sweeper.Tick(world.now + seconds(1)))
     world.sweeper.Handle(world.store.Call(call, store_fault::kNone), {});
   CHECK(world.store.objects().contains(update.key));
 }
--- a/packages/delivery/tests/correctness/simulation.cc
+++ b/packages/delivery/tests/correctness/simulation.cc
@@ -31,7 +31,7 @@
   if (kind > fault::kStoreDown)
     return std::holds_alternative<start_attempt>(effect);
   const auto* call = std::get_if<call_platform>(&effect);
-  const bool reads = call && call->call.op == platform::operation::kGet;
+  const bool reads = call && call->call.op == store::operation::kGet;
   const bool only_writes =
       kind != fault::kStoreUnavailable && kind != fault::kStoreDown;
   return call && !(reads && only_writes);
@@ -199,17 +199,17 @@
   });
 }
 
-void simulation::Answer(const platform::call& call,
+void simulation::Answer(const store::call& call,
                         const std::vector<fault>& faults,
                         simulated_call& to) {
   if (Has(faults, fault::kStoreDown))
     store_down_until_ = now + kOutage;
   const store_fault kind = now < store_down_until_ ? store_fault::kUnavailable
                                                    : StoreFaultOf(faults);
-  const platform::reply reply = store.Call(call, kind);
+  const store::reply reply = store.Call(call, kind);
   if (kind == store_fault::kDelayed)
     After(delayed_writes_after, [this] { store.ApplyDelayed(); });
-  const bool lost = reply.outcome == platform::call_outcome::kUnknown;
+  const bool lost = reply.outcome == store::call_outcome::kUnknown;
   After(lost ? call.timeout : store_latency, [&to, reply] { to.Feed(reply); });
 }
 
--- a/packages/delivery/tests/fakes/fake_store.h
+++ b/packages/delivery/tests/fakes/fake_store.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::delivery {
 
@@ -23,7 +23,7 @@
 
 class fake_store {
  public:
-  platform::reply Call(const platform::call& call, store_fault fault);
+  store::reply Call(const store::call& call, store_fault fault);
 
   /// Lets every delayed write take effect now, in order.
   void ApplyDelayed();
@@ -31,24 +31,24 @@
   /// A broken store writes whatever it is told, for tests of the tests.
   bool checks_versions = true;
 
-  const std::map<platform::object_key, platform::object>& objects() const {
+  const std::map<store::object_key, store::object>& objects() const {
     return objects_;
   }
 
  private:
-  platform::reply Apply(const platform::call& call);
-  platform::reply Read(const platform::call& call) const;
+  store::reply Apply(const store::call& call);
+  store::reply Read(const store::call& call) const;
 
-  std::map<platform::object_key, platform::object> objects_;
+  std::map<store::object_key, store::object> objects_;
   std::uint64_t revision_ = 0;
-  std::vector<platform::call> delayed_;
+  std::vector<store::call> delayed_;
 };
 
-inline platform::reply fake_store::Read(const platform::call& call) const {
-  platform::reply reply;
+inline store::reply fake_store::Read(const store::call& call) const {
+  store::reply reply;
   reply.id = call.id;
-  reply.outcome = platform::call_outcome::kOk;
-  if (call.op == platform::operation::kList) {
+  reply.outcome = store::call_outcome::kOk;
+  if (call.op == store::operation::kList) {
     for (const auto& [key, object] : objects_)
       if (key.kind == call.key.kind)
         reply.listed.push_back(object);
@@ -56,29 +56,29 @@
   }
   const auto found = objects_.find(call.key);
   if (found == objects_.end())
-    reply.outcome = platform::call_outcome::kNotFound;
+    reply.outcome = store::call_outcome::kNotFound;
   else
     reply.current = found->second;
   return reply;
 }
 
-inline platform::reply fake_store::Apply(const platform::call& call) {
-  platform::reply reply;
+inline store::reply fake_store::Apply(const store::call& call) {
+  store::reply reply;
   reply.id = call.id;
   const auto found = objects_.find(call.key);
   const bool exists = found != objects_.end();
-  const bool creates = call.op == platform::operation::kCreate;
+  const bool creates = call.op == store::operation::kCreate;
   if (checks_versions &&
       (creates ? exists : exists && found->second.version != call.expected)) {
-    reply.outcome = platform::call_outcome::kConflict;
+    reply.outcome = store::call_outcome::kConflict;
     return reply;
   }
   if (checks_versions && !creates && !exists) {
-    reply.outcome = platform::call_outcome::kNotFound;
+    reply.outcome = store::call_outcome::kNotFound;
     return reply;
   }
-  reply.outcome = platform::call_outcome::kOk;
-  if (call.op == platform::operation::kDelete) {
+  reply.outcome = store::call_outcome::kOk;
+  if (call.op == store::operation::kDelete) {
     objects_.erase(found);
     return reply;
   }
@@ -87,17 +87,17 @@
   return reply;
 }
 
-inline platform::reply fake_store::Call(const platform::call& call,
-                                        store_fault fault) {
-  platform::reply failed;
+inline store::reply fake_store::Call(const store::call& call,
+                                     store_fault fault) {
+  store::reply failed;
   failed.id = call.id;
-  const bool writes = call.op != platform::operation::kGet &&
-                      call.op != platform::operation::kList;
+  const bool writes =
+      call.op != store::operation::kGet && call.op != store::operation::kList;
   if (fault == store_fault::kNone)
     return writes ? Apply(call) : Read(call);
   if (!writes || fault == store_fault::kUnavailable)
     return failed;  // Reads that fail are unavailable, whatever the reason.
-  failed.outcome = platform::call_outcome::kUnknown;
+  failed.outcome = store::call_outcome::kUnknown;
   if (fault == store_fault::kLostAfter)
     Apply(call);
   if (fault == store_fault::kDelayed)
@@ -106,7 +106,7 @@
 }
 
 inline void fake_store::ApplyDelayed() {
-  for (const platform::call& call : delayed_)
+  for (const store::call& call : delayed_)
     Apply(call);
   delayed_.clear();
 }
--- a/packages/delivery/tests/fakes/simulation.h
+++ b/packages/delivery/tests/fakes/simulation.h
@@ -122,7 +122,7 @@
   void RunService(const endpoint::attempt& attempt,
                   const std::vector<fault>& faults,
                   simulated_call& call);
-  void Answer(const platform::call& call,
+  void Answer(const store::call& call,
               const std::vector<fault>& faults,
               simulated_call& to);
   void Grant(const admission::ask& ask,
--- a/packages/delivery/tests/fuzz/machine_bears_any_inputs.cc
+++ b/packages/delivery/tests/fuzz/machine_bears_any_inputs.cc
@@ -60,7 +60,7 @@
                                 .Build();
   base::time_point now;
   base::attempt_id attempt;
-  platform::call_id call;
+  store::call_id call;
   std::uint64_t tokens = 0;
   int attempts = 0;
   int places = 0;
@@ -79,12 +79,12 @@
 }
 
 void FeedReply(watched_machine& watched) {
-  platform::reply reply;
+  store::reply reply;
   reply.id = watched.call;
-  reply.outcome = static_cast<platform::call_outcome>(*rc::gen::inRange(0, 6));
-  if (reply.outcome == platform::call_outcome::kOk)
+  reply.outcome = static_cast<store::call_outcome>(*rc::gen::inRange(0, 6));
+  if (reply.outcome == store::call_outcome::kOk)
     reply.current =
-        platform::object{{}, base::revision(*rc::gen::inRange(1, 4)), "{}"};
+        store::object{{}, base::revision(*rc::gen::inRange(1, 4)), "{}"};
   watched.Feed(reply);
 }
 
--- /dev/null
+++ b/packages/fleet/peer_news.cc
@@ -0,0 +1,211 @@
+#include "fleet/peer_news.h"
+
+#include <boost/json.hpp>
+
+#include <tuple>
+#include <utility>
+
+namespace flamingoshunt::fleet {
+namespace {
+
+namespace json = boost::json;
+
+json::array EncodeLoads(const gateway::load_map& loads) {
+  json::array out;
+  for (const auto& [instance, load] : loads)
+    out.push_back({json::string(instance.str()), load.running, load.unread,
+                   load.unwritten});
+  return out;
+}
+
+json::object EncodeStatement(const group_statement& statement) {
+  json::array groups;
+  for (const serving_group& each : statement.groups)
+    groups.push_back({json::string(each.name), each.epoch.value(),
+                      json::string(each.model), json::string(each.head.str())});
+  return {{"term", statement.term},
+          {"edition", statement.edition},
+          {"groups", std::move(groups)}};
+}
+
+// Reads values of one datagram; any mismatch throws and voids all of it.
+std::string Text(const json::value& value) {
+  return std::string(value.as_string());
+}
+
+std::uint64_t Whole(const json::value& value) {
+  return value.to_number<std::uint64_t>();
+}
+
+gateway::load_map DecodeLoads(const json::array& loads) {
+  gateway::load_map out;
+  for (const json::value& each : loads) {
+    const json::array& fields = each.as_array();
+    out[base::instance_id(Text(fields.at(0)))] = {
+        fields.at(1).to_number<int>(), fields.at(2).to_number<std::int64_t>(),
+        fields.at(3).to_number<std::int64_t>()};
+  }
+  return out;
+}
+
+group_statement DecodeStatement(const json::object& from) {
+  group_statement out;
+  out.term = Whole(from.at("term"));
+  out.edition = Whole(from.at("edition"));
+  for (const json::value& each : from.at("groups").as_array()) {
+    const json::array& fields = each.as_array();
+    out.groups.push_back({Text(fields.at(0)), base::epoch(Whole(fields.at(1))),
+                          Text(fields.at(2)),
+                          base::instance_id(Text(fields.at(3)))});
+  }
+  return out;
+}
+
+peer_news DecodeObject(const json::object& from) {
+  peer_news news;
+  news.node = base::node_id(Text(from.at("node")));
+  news.incarnation = Whole(from.at("incarnation"));
+  news.sequence = Whole(from.at("sequence"));
+  news.configuration = Whole(from.at("configuration"));
+  news.seen_requests = from.at("seen_requests").as_bool();
+  news.stopping = from.at("stopping").as_bool();
+  news.loads = DecodeLoads(from.at("loads").as_array());
+  for (const json::value& each : from.at("suspects").as_array())
+    news.suspects.emplace_back(Text(each));
+  for (const json::value& each : from.at("crashes").as_array()) {
+    const json::array& fields = each.as_array();
+    news.crashes.push_back({base::fingerprint(Whole(fields.at(0))),
+                            base::instance_id(Text(fields.at(1)))});
+  }
+  for (const auto& [service, statement] : from.at("statements").as_object())
+    news.statements[std::string(service)] =
+        DecodeStatement(statement.as_object());
+  return news;
+}
+
+bool Newer(const group_statement& a, const group_statement& b) {
+  return std::tie(a.term, a.edition) > std::tie(b.term, b.edition);
+}
+
+}  // namespace
+
+std::string EncodeNews(const peer_news& news) {
+  json::array suspects;
+  for (const base::instance_id& each : news.suspects)
+    suspects.emplace_back(each.str());
+  json::array crashes;
+  for (const gateway::crash_sighting& each : news.crashes)
+    crashes.push_back(
+        {each.request.value(), json::string(each.replica.str())});
+  json::object statements;
+  for (const auto& [service, statement] : news.statements)
+    statements[service] = EncodeStatement(statement);
+  json::object out{{"node", news.node.str()},
+                   {"incarnation", news.incarnation},
+                   {"sequence", news.sequence},
+                   {"configuration", news.configuration},
+                   {"seen_requests", news.seen_requests},
+                   {"stopping", news.stopping},
+                   {"loads", EncodeLoads(news.loads)},
+                   {"suspects", std::move(suspects)},
+                   {"crashes", std::move(crashes)},
+                   {"statements", std::move(statements)}};
+  std::string text = json::serialize(out);
+  for (const char* spare : {"statements", "crashes"}) {
+    if (text.size() <= kMaxDatagram)
+      break;
+    if (out[spare].is_object())
+      out[spare] = json::object();
+    else
+      out[spare] = json::array();
+    text = json::serialize(out);
+  }
+  return text;
+}
+
+std::optional<peer_news> DecodeNews(std::string_view text) {
+  try {
+    return DecodeObject(
+        json::parse(json::string_view(text.data(), text.size())).as_object());
+  } catch (const std::exception&) {
+    // Not ours, or cut on the way: the sender's next datagram says it again.
+    return std::nullopt;
+  }
+}
+
+bool peer_table::Take(peer_news news, base::time_point now) {
+  peer& known = peers_[news.node];
+  const auto order = [](const peer_news& of) {
+    return std::pair(of.incarnation, of.sequence);
+  };
+  // After a silence any incarnation is taken: a node that restarted with its
+  // clock set back would otherwise stay unheard.
+  const bool silent = now - known.heard >= kSilence;
+  const bool restarted = news.incarnation != known.news.incarnation;
+  if (order(news) <= order(known.news) && !(silent && restarted))
+    return false;
+  for (const auto& [service, statement] : news.statements) {
+    group_statement& held = statements_[service];
+    if (Newer(statement, held))
+      held = statement;
+  }
+  known.news = std::move(news);
+  known.heard = now;
+  return true;
+}
+
+bool peer_table::IsLive(const base::node_id& node,
+                        base::time_point now,
+                        base::duration silence) const {
+  const auto found = peers_.find(node);
+  return found != peers_.end() && now - found->second.heard < silence &&
+         !found->second.news.stopping;
+}
+
+std::vector<base::node_id> peer_table::Live(base::time_point now,
+                                            base::duration silence) const {
+  std::vector<base::node_id> live;
+  for (const auto& [node, peer] : peers_) {
+    if (IsLive(node, now, silence))
+      live.push_back(node);
+  }
+  return live;
+}
+
+gateway::load_map peer_table::Loads(base::time_point now,
+                                    base::duration silence) const {
+  gateway::load_map sum;
+  for (const auto& [node, peer] : peers_) {
+    // A node that stops still has requests running.
+    if (now - peer.heard >= silence)
+      continue;
+    for (const auto& [instance, load] : peer.news.loads)
+      sum[instance] += load;
+  }
+  return sum;
+}
+
+std::optional<group_statement> peer_table::Statement(
+    const std::string& service) const {
+  const auto found = statements_.find(service);
+  if (found == statements_.end())
+    return std::nullopt;
+  return found->second;
+}
+
+std::uint64_t peer_table::NewestConfiguration() const {
+  std::uint64_t newest = 0;
+  for (const auto& [node, peer] : peers_)
+    newest = std::max(newest, peer.news.configuration);
+  return newest;
+}
+
+bool peer_table::AnySeenRequests() const {
+  for (const auto& [node, peer] : peers_) {
+    if (peer.news.seen_requests)
+      return true;
+  }
+  return false;
+}
+
+}  // namespace flamingoshunt::fleet
--- /dev/null
+++ b/packages/fleet/peer_news.h
@@ -0,0 +1,98 @@
+// Defines what nodes tell each other, as one datagram of JSON: who they are,
+// which configuration they hold, what they have placed, which replicas they
+// suspect, and, from the node that acts for the groups of a service, which
+// groups serve. A datagram states everything, so a lost one costs only time.
+#ifndef FLAMINGOSHUNT_FLEET_PEER_NEWS_H_
+#define FLAMINGOSHUNT_FLEET_PEER_NEWS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "gateway/crash_guard.h"
+#include "gateway/fleet_view.h"
+
+namespace flamingoshunt::fleet {
+
+/// A group as the acting node vouches for it.
+struct serving_group {
+  std::string name;
+  base::epoch epoch;
+  std::string model;
+  base::instance_id head;
+  bool operator==(const serving_group&) const = default;
+};
+
+/// All serving groups of a service, by the node that acts under @c term.
+struct group_statement {
+  std::uint64_t term = 0;
+  std::uint64_t edition = 0;  ///< Rises with every change within the term.
+  std::vector<serving_group> groups;
+  bool operator==(const group_statement&) const = default;
+};
+
+struct peer_news {
+  base::node_id node;
+  std::uint64_t incarnation = 0;  ///< Rises from start to start of a node.
+  std::uint64_t sequence = 0;     ///< Rises with every datagram.
+  std::uint64_t configuration = 0;  ///< Version in force; 0 for none.
+  bool seen_requests = false;  ///< Callers have reached this node or a peer.
+  bool stopping = false;
+  gateway::load_map loads;
+  std::vector<base::instance_id> suspects;  ///< Stand still, as seen here.
+  std::vector<gateway::crash_sighting> crashes;
+  std::map<std::string, group_statement> statements;  ///< By service.
+};
+
+/// Datagrams above this are cut by dropping statements, then loads.
+inline constexpr std::size_t kMaxDatagram = 32 * 1024;
+
+std::string EncodeNews(const peer_news& news);
+
+/// @return nothing when @p text is not news.
+std::optional<peer_news> DecodeNews(std::string_view text);
+
+/// What a node knows of its peers.
+class peer_table {
+ public:
+  /// A peer that said nothing for so long counts as gone. Several datagrams
+  /// may be lost before that.
+  static constexpr base::duration kSilence = std::chrono::milliseconds(1200);
+
+  /// @return whether the news are newer than what was known of that node.
+  bool Take(peer_news news, base::time_point now);
+
+  /// @return the nodes heard of within the bound, for as long as they serve.
+  std::vector<base::node_id> Live(base::time_point now,
+                                  base::duration silence) const;
+  bool IsLive(const base::node_id& node,
+              base::time_point now,
+              base::duration silence) const;
+
+  /// @return the sum of what live peers have placed.
+  gateway::load_map Loads(base::time_point now, base::duration silence) const;
+
+  /// @return the newest statement about @p service, by term and edition.
+  std::optional<group_statement> Statement(const std::string& service) const;
+
+  /// @return the highest configuration version that a peer holds.
+  std::uint64_t NewestConfiguration() const;
+  bool AnySeenRequests() const;
+
+ private:
+  struct peer {
+    peer_news news;
+    base::time_point heard{};
+  };
+  std::map<base::node_id, peer> peers_;
+  std::map<std::string, group_statement> statements_;
+};
+
+}  // namespace flamingoshunt::fleet
+
+#endif  // FLAMINGOSHUNT_FLEET_PEER_NEWS_H_
--- /dev/null
+++ b/packages/gateway/configuration.h
@@ -0,0 +1,142 @@
+// Defines the gateway's configuration: routes by host and path, the services
+// behind them with the pace of their engines, workspaces by key, and what
+// callers may send. One version is immutable once built.
+#ifndef FLAMINGOSHUNT_GATEWAY_CONFIGURATION_H_
+#define FLAMINGOSHUNT_GATEWAY_CONFIGURATION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+
+namespace flamingoshunt::gateway {
+
+using milliseconds = std::chrono::milliseconds;
+
+/// A service and its part of a route's requests.
+struct weighted_service {
+  std::string service;
+  double weight = 1;
+};
+
+struct route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;  ///< Begins and ends with a slash.
+  bool stream = false;      ///< Answers with events as they are produced.
+  bool idempotent = false;  ///< May run more than once.
+  bool resumable = false;   ///< A stream that another replica may continue.
+  milliseconds timeout{30000};
+  milliseconds first_answer_aim{1000};  ///< Full worth up to here.
+  milliseconds pause_aim{1000};  ///< Longest pause of a stream on time.
+  int priority = 0;              ///< 0 is the most urgent.
+  std::vector<weighted_service> targets;
+  int max_attempts = 1;  ///< Replicas that one request may be sent to.
+  bool anonymous = false;
+
+  /// @return whether a request that may have run can be sent again.
+  bool repeatable() const { return stream ? resumable : idempotent; }
+};
+
+/// How one model of an engine service is laid out over instances.
+struct model_layout {
+  std::string name;
+  int size = 1;        ///< Instances in a group.
+  double share = 0;    ///< Part of the instances meant for this model.
+  double pace = 1;     ///< Factor on all times of a group.
+  milliseconds load{0};  ///< From the weight store.
+  milliseconds warm{0};  ///< From the host's own copy.
+};
+
+/// The published pace of a batching engine.
+struct engine_pace {
+  int slots = 1;                     ///< Requests that run at once.
+  double step_ms = 10;               ///< One token step of an empty batch.
+  double step_per_sequence_ms = 0;   ///< Added for each running request.
+  double step_per_kilotoken_ms = 0;  ///< Added for each 1,000 context tokens.
+  double read_tokens_per_ms = 1000;
+  double read_pairs_per_ms = 0;  ///< Million token pairs; 0 is free.
+  int read_chunk = 2048;         ///< Prompt tokens read in one step.
+  int steps_per_pass = 1;        ///< Token steps between two events.
+  std::int64_t memory_tokens = 0;
+  double usual_prompt = 500;  ///< Tokens.
+  double usual_answer = 100;  ///< Tokens.
+  double loads_per_second = 1;
+  int loads_at_once = 1;
+  milliseconds form{0};  ///< From the order to open until a group serves.
+  std::vector<model_layout> models;
+
+  /// @return the layout of @p name, or null.
+  const model_layout* Find(std::string_view name) const;
+};
+
+struct service {
+  std::string name;
+  std::string health_path;
+  int max_connections = 0;            ///< Of one replica, from all callers.
+  std::optional<engine_pace> engine;  ///< Nothing for a plain service.
+};
+
+struct workspace {
+  base::workspace_id id;
+  std::optional<int> priority;  ///< Goes before the route's.
+};
+
+/// What a caller may send, and how long it may take.
+struct caller_limits {
+  std::size_t header_bytes = 16 * 1024;
+  std::size_t body_bytes = 4 * 1024 * 1024;
+  milliseconds header_timeout{3000};
+  milliseconds idle_timeout{60000};
+  bool operator==(const caller_limits&) const = default;
+};
+
+/// One version of the whole configuration.
+class configuration {
+ public:
+  /// @param routes later ones win over earlier ones of equal host and prefix.
+  configuration(std::uint64_t version,
+                std::vector<route> routes,
+                std::vector<service> services,
+                std::unordered_map<std::string, workspace> keys,
+                caller_limits limits);
+
+  std::uint64_t version() const { return version_; }
+  const caller_limits& limits() const { return limits_; }
+  const std::map<std::string, service, std::less<>>& services() const {
+    return services_;
+  }
+
+  /// @return whether requests must carry a key.
+  bool needs_key() const { return !keys_.empty(); }
+
+  /// @return the route of @p host with the longest prefix of @p path, or null.
+  const route* Match(std::string_view host, std::string_view path) const;
+
+  /// @return the workspace that holds @p key, or null.
+  const workspace* Holder(const std::string& key) const;
+
+  /// @return the service, or null.
+  const service* FindService(std::string_view name) const;
+
+ private:
+  std::uint64_t version_;
+  std::vector<route> routes_;
+  std::unordered_map<std::string, std::size_t> by_place_;
+  std::map<std::string, service, std::less<>> services_;
+  std::unordered_map<std::string, workspace> keys_;
+  caller_limits limits_;
+};
+
+using configuration_ptr = std::shared_ptr<const configuration>;
+
+}  // namespace flamingoshunt::gateway
+
+#endif  // FLAMINGOSHUNT_GATEWAY_CONFIGURATION_H_
--- /dev/null
+++ b/packages/gateway/dispatcher.h
@@ -0,0 +1,150 @@
+// Defines who runs when and where: a node places each request on the replica
+// that finishes it first, lets it wait while all are full, and refuses at once
+// what can't be answered in time. No sockets and no clock.
+//
+// Load pattern: demand swings by half within seconds and bursts on top, while
+// groups drop out and return. The line therefore serves first what can still be
+// on time, lets late work take the places that remain, and tells the others
+// when a place will be free.
+#ifndef FLAMINGOSHUNT_GATEWAY_DISPATCHER_H_
+#define FLAMINGOSHUNT_GATEWAY_DISPATCHER_H_
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "gateway/fleet_view.h"
+#include "gateway/pace_model.h"
+
+namespace flamingoshunt::gateway {
+
+using ticket_id = base::number_id<struct ticket_tag>;
+
+/// A request that wants a place at a replica.
+struct ask {
+  ticket_id ticket;
+  std::string service;
+  std::string model;  ///< Empty for a plain service.
+  std::int64_t prompt_tokens = 0;
+  std::int64_t output_tokens = 0;  ///< Expected.
+  int priority = 0;                ///< 0 is the most urgent.
+  base::time_point on_time_until{};  ///< First answer by then is on time.
+  base::time_point give_up_at{};     ///< No use after that.
+  std::vector<base::instance_id> avoid;  ///< Tried before.
+};
+
+struct grant {
+  ticket_id ticket;
+  target place;
+  work_estimate expected;  ///< Zero for a plain service.
+  placed_load load;        ///< What was placed there already.
+};
+
+enum class refusal_reason {
+  kNoReplica,     ///< Nothing serves this service or model at the moment.
+  kWaitTooLong,   ///< Its turn would come too late.
+  kLineFull,      ///< Too many wait already.
+  kUnknownService  ///< The configuration doesn't name it.
+};
+
+/// @return the name used in logs and answers.
+const char* NameOf(refusal_reason reason);
+
+struct refusal {
+  ticket_id ticket;
+  refusal_reason reason = refusal_reason::kNoReplica;
+  base::duration retry_after{};  ///< When a place is expected to be free.
+  std::size_t waiting = 0;       ///< In the line of the same pool.
+};
+
+struct decisions {
+  std::vector<grant> grants;
+  std::vector<refusal> refusals;
+};
+
+class dispatcher {
+ public:
+  explicit dispatcher(base::random_engine random) : random_(random) {}
+
+  decisions Ask(ask request, base::time_point now);
+
+  /// The caller of a waiting request is gone.
+  void Withdraw(ticket_id ticket);
+
+  /// The replica produced the first event.
+  void Started(ticket_id ticket);
+
+  /// The request left its replica, whether complete or not.
+  /// @param whole whether it ran to its end, so that its time is typical.
+  decisions Ended(ticket_id ticket, bool whole, base::time_point now);
+
+  decisions SetView(fleet_view_ptr view, base::time_point now);
+
+  /// @param loads what the other nodes have placed; replaces what was known.
+  decisions SetPeerLoads(load_map loads, base::time_point now);
+
+  /// Places nothing more on @p replica until @p until.
+  void Suspect(const base::instance_id& replica, base::time_point until);
+  /// A suspect answered after all.
+  decisions Clear(const base::instance_id& replica, base::time_point now);
+
+  /// @return whether another replica could take over from @p replica.
+  bool HasAlternative(const std::string& service,
+                      const std::string& model,
+                      const std::vector<base::instance_id>& avoid,
+                      base::time_point now) const;
+
+  decisions Tick(base::time_point now);
+  std::optional<base::time_point> NextTimer(base::time_point now) const;
+
+  /// @return what this node has placed and not seen end.
+  const load_map& own_loads() const { return own_; }
+  std::size_t waiting() const { return waiting_.size(); }
+
+ private:
+  struct placement {
+    base::instance_id instance;
+    std::string pool;
+    std::int64_t unread = 0;
+    std::int64_t unwritten = 0;
+    base::time_point since{};
+  };
+  struct pool_pace {
+    double mean_ms = 0;  ///< Of whole requests.
+  };
+
+  decisions Pump(base::time_point now);
+  void Order(base::time_point now);
+  std::optional<grant> TryPlace(const ask& request, base::time_point now);
+  std::optional<refusal> JudgeWait(const ask& request,
+                                   std::size_t ahead,
+                                   std::size_t in_pool,
+                                   base::time_point now) const;
+  std::vector<const target*> Candidates(const ask& request,
+                                        base::time_point now) const;
+  const std::vector<target>* TargetsOf(const std::string& service) const;
+  const engine_pace* PaceOf(const std::string& service) const;
+  placed_load LoadOf(const base::instance_id& instance) const;
+  bool HasRoom(const target& place, const engine_pace* pace) const;
+  base::duration TurnIn(const ask& request,
+                        std::size_t ahead,
+                        base::time_point now) const;
+
+  base::random_engine random_;
+  fleet_view_ptr view_;
+  std::list<ask> waiting_;
+  std::map<ticket_id, placement> placed_;
+  load_map own_;
+  load_map peers_;
+  std::map<base::instance_id, base::time_point> suspects_;
+  std::map<std::string, pool_pace> paces_;
+};
+
+}  // namespace flamingoshunt::gateway
+
+#endif  // FLAMINGOSHUNT_GATEWAY_DISPATCHER_H_
--- /dev/null
+++ b/packages/gateway/entry.cc
@@ -0,0 +1,143 @@
+#include "gateway/entry.h"
+
+#include <utility>
+
+#include "gateway/session.h"
+#include "telemetry/log.h"
+
+namespace flamingoshunt::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A replica that stood still gets no new work for so long, unless it is heard
+// of before: the time in which the acting node finds out what happened.
+constexpr milliseconds kSuspicion{1000};
+
+}  // namespace
+
+entry::entry(boost::asio::io_context& loop,
+             const base::clock& clock,
+             const protocol& wire,
+             metrics& counted,
+             std::uint64_t seed,
+             std::function<void(entry_news)> tell)
+    : loop_(loop),
+      clock_(clock),
+      wire_(wire),
+      metrics_(counted),
+      tell_(std::move(tell)),
+      random_(seed),
+      dispatcher_(base::random_engine(seed)),
+      pool_(loop),
+      timer_(loop, [this] {
+        Apply(dispatcher_.Tick(Now()));
+        ArmTimer();
+      }) {}
+
+entry::~entry() = default;
+
+void entry::Handle(runtime::http_exchange& exchange) {
+  seen_requests_ = true;
+  session serving(*this, exchange);
+  sessions_.insert(&serving);
+  metrics_.requests.Add();
+  metrics_.running.Set(static_cast<std::int64_t>(sessions_.size()));
+  serving.Run();
+  sessions_.erase(&serving);
+  metrics_.running.Set(static_cast<std::int64_t>(sessions_.size()));
+}
+
+void entry::Take(const fleet_update& update) {
+  const auto now = Now();
+  if (update.allowance)
+    budget_.SetAllowance(*update.allowance);
+  for (const crash_sighting& each : update.crashes)
+    guard_.Note(each, now);
+  for (const base::instance_id& each : update.suspects) {
+    dispatcher_.Suspect(each, now + kSuspicion);
+    for (session* open : sessions_)
+      open->PeerSuspects(each);
+  }
+  if (update.view) {
+    view_ = update.view;
+    view_at_ = now;
+    budget_.SetNodes(view_->live_nodes);
+    Apply(dispatcher_.SetView(view_, now));
+  }
+  if (update.loads)
+    Apply(dispatcher_.SetPeerLoads(*update.loads, now));
+  ArmTimer();
+}
+
+entry_news entry::TakeNews() {
+  return {dispatcher_.own_loads(), seen_requests_,
+          std::exchange(new_suspects_, {}), std::exchange(new_crashes_, {})};
+}
+
+entry::place entry::WaitForPlace(ask request, runtime::fiber_signal& signal) {
+  const ticket_id ticket = request.ticket;
+  waiting_[ticket].signal = &signal;
+  Apply(dispatcher_.Ask(std::move(request), Now()));
+  ArmTimer();
+  signal.Wait();
+  const auto found = waiting_.find(ticket);
+  place result = std::move(found->second.result);
+  waiting_.erase(found);
+  if (!result.granted && !result.refused)
+    dispatcher_.Withdraw(ticket);
+  metrics_.waiting.Set(static_cast<std::int64_t>(dispatcher_.waiting()));
+  return result;
+}
+
+void entry::Ended(ticket_id ticket, bool whole) {
+  Apply(dispatcher_.Ended(ticket, whole, Now()));
+  ArmTimer();
+}
+
+void entry::Apply(decisions made) {
+  for (grant& each : made.grants) {
+    const auto found = waiting_.find(each.ticket);
+    if (found == waiting_.end())
+      continue;
+    found->second.result.granted = std::move(each);
+    found->second.signal->Notify();
+  }
+  for (const refusal& each : made.refusals) {
+    const auto found = waiting_.find(each.ticket);
+    if (found == waiting_.end())
+      continue;
+    found->second.result.refused = each;
+    found->second.signal->Notify();
+  }
+}
+
+void entry::ArmTimer() {
+  timer_.Arm(dispatcher_.NextTimer(Now()));
+  metrics_.waiting.Set(static_cast<std::int64_t>(dispatcher_.waiting()));
+}
+
+void entry::ReportStall(const base::instance_id& replica,
+                        base::duration silence) {
+  metrics_.stalls.Add();
+  dispatcher_.Suspect(replica, Now() + kSuspicion);
+  telemetry::LogChange(
+      "gateway", "replica_suspected",
+      {{"instance", replica.str()},
+       {"silent_ms", std::chrono::duration_cast<milliseconds>(silence).count()}});
+  new_suspects_.push_back(replica);
+  tell_(TakeNews());
+}
+
+void entry::HeardFrom(const base::instance_id& replica) {
+  Apply(dispatcher_.Clear(replica, Now()));
+}
+
+void entry::ReportCrash(const crash_sighting& seen) {
+  if (!guard_.Note(seen, Now()))
+    return;
+  new_crashes_.push_back(seen);
+  tell_(TakeNews());
+}
+
+}  // namespace flamingoshunt::gateway
--- /dev/null
+++ b/packages/gateway/entry.h
@@ -0,0 +1,117 @@
+// Defines the request path of a node on its I/O thread: the line, the budgets
+// and the idle connections that the sessions of its requests share. What it
+// sees goes to the control thread as news; what the fleet knows comes as views.
+#ifndef FLAMINGOSHUNT_GATEWAY_ENTRY_H_
+#define FLAMINGOSHUNT_GATEWAY_ENTRY_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "duty/timer.h"
+#include "gateway/crash_guard.h"
+#include "gateway/dispatcher.h"
+#include "gateway/metrics.h"
+#include "gateway/protocol.h"
+#include "gateway/retry_budget.h"
+#include "gateway/stall_watch.h"
+#include "runtime/fiber_wait.h"
+#include "runtime/http_client.h"
+#include "runtime/http_server.h"
+
+namespace flamingoshunt::gateway {
+
+/// What the control thread tells.
+struct fleet_update {
+  fleet_view_ptr view;               ///< Null when unchanged.
+  std::optional<load_map> loads;     ///< What the other nodes have placed.
+  std::vector<base::instance_id> suspects;  ///< Stand still, as others see.
+  std::vector<crash_sighting> crashes;
+  std::optional<retry_allowance> allowance;
+};
+
+/// What the request path tells the control thread.
+struct entry_news {
+  load_map loads;
+  bool seen_requests = false;
+  std::vector<base::instance_id> suspects;  ///< New since the last news.
+  std::vector<crash_sighting> crashes;      ///< New since the last news.
+};
+
+class session;
+
+class entry {
+ public:
+  /// @param tell called on this thread with news; @c urgent ones at once.
+  entry(boost::asio::io_context& loop,
+        const base::clock& clock,
+        const protocol& wire,
+        metrics& counted,
+        std::uint64_t seed,
+        std::function<void(entry_news)> tell);
+  ~entry();
+
+  /// Serves one request; runs in the fiber of its connection.
+  void Handle(runtime::http_exchange& exchange);
+
+  void Take(const fleet_update& update);
+
+  /// @return the news since the last call.
+  entry_news TakeNews();
+
+  /// @return requests under way.
+  std::size_t running() const { return sessions_.size(); }
+
+ private:
+  friend class session;
+
+  /// How a wait for a place ended; both empty when the caller left.
+  struct place {
+    std::optional<grant> granted;
+    std::optional<refusal> refused;
+  };
+  struct waiting_fiber {
+    runtime::fiber_signal* signal = nullptr;
+    place result;
+  };
+
+  place WaitForPlace(ask request, runtime::fiber_signal& signal);
+  void Ended(ticket_id ticket, bool whole);
+  void ReportStall(const base::instance_id& replica, base::duration silence);
+  /// An event of a suspected replica proves that it goes on.
+  void HeardFrom(const base::instance_id& replica);
+  void ReportCrash(const crash_sighting& seen);
+  void Apply(decisions made);
+  void ArmTimer();
+  base::time_point Now() const { return clock_.Now(); }
+
+  boost::asio::io_context& loop_;
+  const base::clock& clock_;
+  const protocol& wire_;
+  metrics& metrics_;
+  std::function<void(entry_news)> tell_;
+  base::random_engine random_;
+  fleet_view_ptr view_;
+  base::time_point view_at_{};
+  dispatcher dispatcher_;
+  retry_budget budget_{retry_allowance{}};
+  crash_guard guard_;
+  stall_watch stalls_;
+  runtime::connection_pool pool_;
+  duty::timer timer_;
+  std::map<ticket_id, waiting_fiber> waiting_;
+  std::set<session*> sessions_;
+  std::uint64_t next_ticket_ = 1;
+  bool seen_requests_ = false;
+  std::vector<base::instance_id> new_suspects_;
+  std::vector<crash_sighting> new_crashes_;
+};
+
+}  // namespace flamingoshunt::gateway
+
+#endif  // FLAMINGOSHUNT_GATEWAY_ENTRY_H_
--- /dev/null
+++ b/packages/gateway/metrics.cc
@@ -0,0 +1,35 @@
+#include "gateway/metrics.h"
+
+namespace flamingoshunt::gateway {
+
+metrics::metrics(telemetry::metric_registry& registry)
+    : requests(registry.AddCounter("gateway_requests_total",
+                                   "Requests read from callers")),
+      complete(registry.AddCounter("gateway_complete_total",
+                                   "Requests with a replica's whole answer")),
+      refused(registry.AddCounter("gateway_refused_total",
+                                  "Requests refused as surely not run")),
+      rejected(registry.AddCounter("gateway_rejected_total",
+                                   "Requests that no configuration allows")),
+      failed(registry.AddCounter("gateway_failed_total",
+                                 "Requests that may have run and failed")),
+      left(registry.AddCounter("gateway_left_total",
+                               "Requests whose caller went away")),
+      attempts(registry.AddCounter("gateway_attempts_total",
+                                   "Requests sent to replicas")),
+      resumed(registry.AddCounter("gateway_resumed_total",
+                                  "Streams continued at another replica")),
+      stalls(registry.AddCounter("gateway_stalls_total",
+                                 "Silences taken for a standing replica")),
+      waiting(registry.AddGauge("gateway_waiting", "Requests in the line")),
+      running(registry.AddGauge("gateway_running", "Requests in the node")),
+      wait(registry.AddHistogram("gateway_wait_seconds",
+                                 "From arrival to a place")),
+      first_event(registry.AddHistogram("gateway_first_event_seconds",
+                                        "From arrival to the first event")),
+      event_gap(registry.AddHistogram("gateway_event_gap_seconds",
+                                      "Between events of a stream")),
+      whole(registry.AddHistogram("gateway_whole_seconds",
+                                  "From arrival to the end of the answer")) {}
+
+}  // namespace flamingoshunt::gateway
--- /dev/null
+++ b/packages/gateway/retry_budget.h
@@ -0,0 +1,58 @@
+// Defines the budget for sending requests to a further replica. The fleet
+// shares one budget for each service; every node spends only its own part, so
+// that the sum holds without asking anybody.
+//
+// Load pattern: a replica fails, all its requests want another one, and callers
+// that repeat at once press on top. Without a budget the repeats multiply and
+// keep the survivors from answering anything in time.
+#ifndef FLAMINGOSHUNT_GATEWAY_RETRY_BUDGET_H_
+#define FLAMINGOSHUNT_GATEWAY_RETRY_BUDGET_H_
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "base/clock.h"
+
+namespace flamingoshunt::gateway {
+
+/// Of one service and the whole fleet, in any window.
+struct retry_allowance {
+  double ratio = 0.1;   ///< Repeats for each request.
+  double slack = 10;    ///< Repeats beyond that.
+  base::duration window = std::chrono::seconds(10);
+};
+
+class retry_budget {
+ public:
+  explicit retry_budget(const retry_allowance& allowance)
+      : allowance_(allowance) {}
+
+  /// @param nodes that share the slack.
+  void SetNodes(int nodes) { nodes_ = nodes < 1 ? 1 : nodes; }
+  void SetAllowance(const retry_allowance& allowance) {
+    allowance_ = allowance;
+  }
+
+  /// Counts a caller's request for @p service.
+  void NoteRequest(const std::string& service, base::time_point now);
+
+  /// Takes one repeat from the budget. @return whether there was one.
+  bool TryRepeat(const std::string& service, base::time_point now);
+
+ private:
+  struct history {
+    std::deque<base::time_point> requests;
+    std::deque<base::time_point> repeats;
+  };
+
+  void Expire(history& of, base::time_point now) const;
+
+  retry_allowance allowance_;
+  int nodes_ = 1;
+  std::map<std::string, history> services_;
+};
+
+}  // namespace flamingoshunt::gateway
+
+#endif  // FLAMINGOSHUNT_GATEWAY_RETRY_BUDGET_H_
--- /dev/null
+++ b/packages/groups/load_budget.cc
@@ -0,0 +1,31 @@
+#include "groups/load_budget.h"
+
+namespace flamingoshunt::groups {
+namespace {
+
+// The store's rate is judged over windows of a few seconds.
+constexpr base::duration kWindow = std::chrono::seconds(5);
+// Part of the rate that is used: loads of a node that acted before, and orders
+// that are carried out late, are not seen here.
+constexpr double kPart = 0.85;
+
+}  // namespace
+
+bool load_budget::Allows(int count, base::time_point now) {
+  if (!counting_)
+    return true;
+  while (!starts_.empty() && now - starts_.front() >= kWindow)
+    starts_.pop_front();
+  const double most =
+      kPart * per_second_ * std::chrono::duration<double>(kWindow).count();
+  return static_cast<double>(starts_.size()) + count <= most;
+}
+
+void load_budget::Note(int count, base::time_point now) {
+  if (!counting_)
+    return;
+  for (int i = 0; i < count; ++i)
+    starts_.push_back(now);
+}
+
+}  // namespace flamingoshunt::groups
--- a/packages/membership/agent.cc
+++ b/packages/membership/agent.cc
@@ -97,7 +97,7 @@
   return Encode(machine_.Handle(input, now));
 }
 
-effects agent::Handle(const platform::reply& input, base::time_point now) {
+effects agent::Handle(const store::reply& input, base::time_point now) {
   return Encode(machine_.Handle(input, now));
 }
 
--- a/packages/membership/agent.h
+++ b/packages/membership/agent.h
@@ -19,7 +19,7 @@
 struct effects {
   std::vector<peer_call> calls;      ///< POST these to peers.
   std::vector<peer_answer> answers;  ///< Answer these posts.
-  std::vector<platform::call> platform_calls;
+  std::vector<store::call> platform_calls;
   std::vector<item_received> items;
   std::optional<peers_changed> peers;
   std::vector<peer> changes;  ///< States that changed, for the log.
@@ -43,7 +43,7 @@
   effects Handle(const peer_request& input, base::time_point now);
   effects Handle(const peer_call_answered& input, base::time_point now);
   effects Handle(const peer_call_failed& input, base::time_point now);
-  effects Handle(const platform::reply& input, base::time_point now);
+  effects Handle(const store::reply& input, base::time_point now);
   effects Handle(const publish& input, base::time_point now);
   effects Handle(const leave& input, base::time_point now);
   effects Handle(const tick& input, base::time_point now);
--- a/packages/membership/core.h
+++ b/packages/membership/core.h
@@ -14,7 +14,7 @@
 #include "membership/limits.h"
 #include "membership/tables.h"
 #include "membership/wire.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::membership {
 
@@ -37,7 +37,7 @@
 struct machine_effects {
   std::vector<typed_call> calls;
   std::vector<typed_answer> answers;
-  std::vector<platform::call> platform_calls;
+  std::vector<store::call> platform_calls;
   std::vector<item_received> items;
   std::optional<peers_changed> peers;
   std::vector<peer> changes;  ///< Changes of state, for the log.
--- a/packages/membership/machine.cc
+++ b/packages/membership/machine.cc
@@ -174,7 +174,7 @@
   return Finish(now);
 }
 
-machine_effects machine::Handle(const platform::reply& input,
+machine_effects machine::Handle(const store::reply& input,
                                 base::time_point now) {
   NoticeLateWake(now);
   if (const auto listed = registrar_.OnReply(input, now))
--- a/packages/membership/machine.h
+++ b/packages/membership/machine.h
@@ -47,7 +47,7 @@
   machine_effects Handle(const typed_call_answered& input,
                          base::time_point now);
   machine_effects Handle(const peer_call_failed& input, base::time_point now);
-  machine_effects Handle(const platform::reply& input, base::time_point now);
+  machine_effects Handle(const store::reply& input, base::time_point now);
   machine_effects Handle(const publish& input, base::time_point now);
   machine_effects Handle(const leave& input, base::time_point now);
   machine_effects Handle(const tick& input, base::time_point now);
--- a/packages/membership/registrar.cc
+++ b/packages/membership/registrar.cc
@@ -41,7 +41,7 @@
                           {"region", member.region.str()}});
 }
 
-std::optional<peer> ReadNodeObject(const platform::object& stored) {
+std::optional<peer> ReadNodeObject(const store::object& stored) {
   base::json_problems problems;
   const auto json = base::ParseJson(stored.value, problems);
   if (!json)
@@ -62,8 +62,8 @@
 
 registrar::registrar(core& shared) : core_(shared) {}
 
-void registrar::Send(platform::call call, asked why) {
-  call.id = platform::call_id(next_call_++);
+void registrar::Send(store::call call, asked why) {
+  call.id = store::call_id(next_call_++);
   call.key.kind = kNodeKind;
   pending_.emplace(call.id, std::move(why));
   core_.out.platform_calls.push_back(std::move(call));
@@ -75,9 +75,9 @@
 }
 
 void registrar::Create() {
-  platform::call call;
-  call.op = own_version_ ? platform::operation::kUpdate
-                         : platform::operation::kCreate;
+  store::call call;
+  call.op =
+      own_version_ ? store::operation::kUpdate : store::operation::kCreate;
   call.key.name = core_.self().id.str();
   call.expected = own_version_.value_or(base::revision());
   call.value = NodeObjectValue(core_.self());
@@ -85,23 +85,23 @@
 }
 
 void registrar::ReadOwn() {
-  platform::call call;
-  call.op = platform::operation::kGet;
+  store::call call;
+  call.op = store::operation::kGet;
   call.key.name = core_.self().id.str();
   Send(std::move(call), {platform_step::kReadOwn, {}});
 }
 
 void registrar::List() {
-  platform::call call;
-  call.op = platform::operation::kList;
+  store::call call;
+  call.op = store::operation::kList;
   Send(std::move(call), {platform_step::kList, {}});
 }
 
 void registrar::Sweep(const peer& dead) {
-  platform::call call;
-  call.op = platform::operation::kGet;
+  store::call call;
+  call.op = store::operation::kGet;
   call.key.name = dead.id.str();
-  call.priority = platform::call_priority::kBackground;
+  call.priority = store::call_priority::kBackground;
   Send(std::move(call), {platform_step::kSweep, dead});
 }
 
@@ -115,8 +115,8 @@
     return;
   }
   leave_deadline_ = now + kLeaveLimit;
-  platform::call call;
-  call.op = platform::operation::kDelete;
+  store::call call;
+  call.op = store::operation::kDelete;
   call.key.name = core_.self().id.str();
   call.expected = *own_version_;
   call.timeout = kLeaveLimit;
@@ -182,9 +182,8 @@
   });
 }
 
-std::optional<std::vector<peer>> registrar::OnReply(
-    const platform::reply& reply,
-    base::time_point now) {
+std::optional<std::vector<peer>> registrar::OnReply(const store::reply& reply,
+                                                    base::time_point now) {
   const auto found = pending_.find(reply.id);
   if (found == pending_.end())
     return std::nullopt;
@@ -205,15 +204,15 @@
   return std::nullopt;
 }
 
-bool registrar::DescribesThisRun(const platform::object& stored) const {
+bool registrar::DescribesThisRun(const store::object& stored) const {
   const auto read = ReadNodeObject(stored);
   // The incarnation may have risen since by a refutation.
   return read && read->address == core_.self().address &&
          read->incarnation <= core_.self().incarnation;
 }
 
-void registrar::OnOwnReply(const platform::reply& reply, base::time_point now) {
-  using platform::call_outcome;
+void registrar::OnOwnReply(const store::reply& reply, base::time_point now) {
+  using store::call_outcome;
   const bool settled = reply.outcome == call_outcome::kOk && reply.current;
   if (settled && DescribesThisRun(*reply.current)) {
     own_version_ = reply.current->version;
@@ -236,19 +235,19 @@
   Retry(next_own_, now);
 }
 
-void registrar::OnSweepReply(const platform::reply& reply, const peer& dead) {
-  if (reply.outcome != platform::call_outcome::kOk || !reply.current)
+void registrar::OnSweepReply(const store::reply& reply, const peer& dead) {
+  if (reply.outcome != store::call_outcome::kOk || !reply.current)
     return;
   const auto stored = ReadNodeObject(*reply.current);
   const member_record* record = core_.members.Find(dead.id);
   const bool still_dead = record && record->known.state == peer_state::kDead;
   if (!stored || !still_dead || stored->incarnation > record->known.incarnation)
     return;
-  platform::call call;
-  call.op = platform::operation::kDelete;
+  store::call call;
+  call.op = store::operation::kDelete;
   call.key.name = dead.id.str();
   call.expected = reply.current->version;
-  call.priority = platform::call_priority::kBackground;
+  call.priority = store::call_priority::kBackground;
   Send(std::move(call), {platform_step::kSweep, dead});
 }
 
@@ -262,16 +261,16 @@
 }
 
 std::optional<std::vector<peer>> registrar::OnListReply(
-    const platform::reply& reply,
+    const store::reply& reply,
     base::time_point now) {
-  if (reply.outcome != platform::call_outcome::kOk) {
+  if (reply.outcome != store::call_outcome::kOk) {
     ++failures_;
     Retry(next_list_, now);
     return std::nullopt;
   }
   next_list_ = now + ListPeriod();
   std::vector<peer> listed;
-  for (const platform::object& stored : reply.listed) {
+  for (const store::object& stored : reply.listed) {
     auto read = ReadNodeObject(stored);
     if (read && read->id != core_.self().id)
       listed.push_back(std::move(*read));
--- a/packages/membership/registrar.h
+++ b/packages/membership/registrar.h
@@ -22,7 +22,7 @@
 
 /// @return the member that a node object describes; nothing when it does not
 ///         describe one, which a newer or broken node may have written.
-std::optional<peer> ReadNodeObject(const platform::object& stored);
+std::optional<peer> ReadNodeObject(const store::object& stored);
 
 /// Where a platform reply is due.
 enum class platform_step { kRegister, kReadOwn, kList, kUnregister, kSweep };
@@ -39,7 +39,7 @@
   void OnTimer(base::time_point now);
 
   /// @return the members listed, when the reply was to a list.
-  std::optional<std::vector<peer>> OnReply(const platform::reply& reply,
+  std::optional<std::vector<peer>> OnReply(const store::reply& reply,
                                            base::time_point now);
 
   /// Another node held this one for dead and may have swept its object.
@@ -52,23 +52,23 @@
     peer about;  // for kSweep the dead member
   };
 
-  void Send(platform::call call, asked why);
+  void Send(store::call call, asked why);
   void Create();
   void ReadOwn();
   void List();
   void Sweep(const peer& dead);
   void Retry(std::optional<base::time_point>& timer, base::time_point now);
-  void OnOwnReply(const platform::reply& reply, base::time_point now);
-  void OnSweepReply(const platform::reply& reply, const peer& dead);
-  std::optional<std::vector<peer>> OnListReply(const platform::reply& reply,
+  void OnOwnReply(const store::reply& reply, base::time_point now);
+  void OnSweepReply(const store::reply& reply, const peer& dead);
+  std::optional<std::vector<peer>> OnListReply(const store::reply& reply,
                                                base::time_point now);
-  bool DescribesThisRun(const platform::object& stored) const;
+  bool DescribesThisRun(const store::object& stored) const;
   std::size_t OwnRankFor(const base::node_id& dead) const;
   base::duration ListPeriod();
 
   core& core_;
   std::uint64_t next_call_ = 1;
-  std::map<platform::call_id, asked> pending_;
+  std::map<store::call_id, asked> pending_;
   std::optional<base::revision> own_version_;
   bool leaving_ = false;
   int failures_ = 0;
--- a/packages/membership/tests/fake_fleet.h
+++ b/packages/membership/tests/fake_fleet.h
@@ -28,12 +28,12 @@
   std::uint64_t revision = 0;
   std::uint64_t reads = 0;
   std::uint64_t writes = 0;
-  std::map<std::string, platform::object> objects;
+  std::map<std::string, store::object> objects;
 
-  platform::reply Handle(const platform::call& call) {
-    using platform::call_outcome;
-    using platform::operation;
-    platform::reply reply{call.id, call_outcome::kOk, {}, {}, {}};
+  store::reply Handle(const store::call& call) {
+    using store::call_outcome;
+    using store::operation;
+    store::reply reply{call.id, call_outcome::kOk, {}, {}, {}};
     const bool write =
         call.op != operation::kGet && call.op != operation::kList;
     if (down) {
@@ -282,7 +282,7 @@
       SendCall(at, call);
     for (const peer_answer& given : made.answers)
       SendAnswer(at, given);
-    for (const platform::call& call : made.platform_calls)
+    for (const store::call& call : made.platform_calls)
       SendPlatform(at, call);
     Wake(at);
   }
@@ -338,9 +338,9 @@
             });
   }
 
-  void SendPlatform(std::size_t from, const platform::call& call) {
+  void SendPlatform(std::size_t from, const store::call& call) {
     After(platform_delay, [=, this, run = nodes[from]->run] {
-      const platform::reply reply = store.Handle(call);
+      const store::reply reply = store.Handle(call);
       if (nodes[from]->run == run)
         Deliver(from, platform_delay, [reply](agent& a, base::time_point t) {
           return a.Handle(reply, t);
--- a/packages/replica/allocation.cc
+++ b/packages/replica/allocation.cc
@@ -189,7 +189,7 @@
   return text;
 }
 
-allocation AllocationFromObject(const platform::object& source) {
+allocation AllocationFromObject(const store::object& source) {
   base::json_problems problems;
   allocation read;
   read.domain = base::fabric_domain_id(source.key.name);
--- a/packages/replica/allocation.h
+++ b/packages/replica/allocation.h
@@ -20,7 +20,7 @@
 
 #include "base/errors.h"
 #include "base/ids.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::replica {
 
@@ -99,7 +99,7 @@
 
 /// Reads an object of kind "allocation".
 /// @throws allocation_error naming every problem.
-allocation AllocationFromObject(const platform::object& source);
+allocation AllocationFromObject(const store::object& source);
 
 }  // namespace flamingoshunt::replica
 
--- a/packages/replica/machine.cc
+++ b/packages/replica/machine.cc
@@ -29,8 +29,8 @@
 }
 
 effects machine::Finish(effects out) {
-  for (const platform::call& call : out.calls) {
-    const bool read = call.op == platform::operation::kGet;
+  for (const store::call& call : out.calls) {
+    const bool read = call.op == store::operation::kGet;
     counted_.reads += read;
     counted_.writes += !read;
   }
@@ -182,7 +182,7 @@
   return {};
 }
 
-effects machine::Handle(const platform::reply& input, base::time_point now) {
+effects machine::Handle(const store::reply& input, base::time_point now) {
   effects out;
   const auto settled = store_.Settle(input, now);
   if (!settled)
@@ -228,7 +228,7 @@
     readiness_.JudgeAll(instances_, now, out.serving);
   if (now >= next_ask_)
     Ask(now, out);
-  for (platform::call& call : store_.DueReads(now))
+  for (store::call& call : store_.DueReads(now))
     out.calls.push_back(std::move(call));
   if (next_plan_ && now >= *next_plan_)
     Plan(now, out);
--- a/packages/replica/machine.h
+++ b/packages/replica/machine.h
@@ -42,7 +42,7 @@
   effects Handle(const drain_changed& input, base::time_point now);
   effects Handle(const endpoint::report& input, base::time_point now);
   effects Handle(const endpoint::order_result& input, base::time_point now);
-  effects Handle(const platform::reply& input, base::time_point now);
+  effects Handle(const store::reply& input, base::time_point now);
   effects Handle(const membership::peers_changed& input, base::time_point now);
   effects Handle(const membership::item_received& input, base::time_point now);
   effects Handle(const replica_failed& input, base::time_point now);
--- a/packages/replica/messages.h
+++ b/packages/replica/messages.h
@@ -14,7 +14,7 @@
 #include "catalogue/entry.h"
 #include "endpoint/messages.h"
 #include "membership/messages.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::replica {
 
@@ -61,12 +61,12 @@
 
 /// All objects of kind "allocation"; replaces what was known.
 struct allocations_listed {
-  std::vector<platform::object> objects;
+  std::vector<store::object> objects;
 };
 
 /// One object of kind "allocation" was written or deleted.
 struct allocation_changed {
-  platform::object object;
+  store::object object;
   bool deleted = false;
 };
 
@@ -93,7 +93,7 @@
 /// What the node must do after one input, in the order of the fields.
 struct effects {
   std::vector<serving_changed> serving;
-  std::vector<platform::call> calls;
+  std::vector<store::call> calls;
   std::vector<endpoint::order> orders;
   std::vector<endpoint::instance> asks;
   std::vector<membership::publish> items;
--- a/packages/replica/object_store.cc
+++ b/packages/replica/object_store.cc
@@ -5,15 +5,15 @@
 namespace flamingoshunt::replica {
 namespace {
 
-using platform::call_outcome;
-using platform::operation;
+using store::call_outcome;
+using store::operation;
 
 constexpr base::duration kFirstBackOff = std::chrono::milliseconds(500);
 constexpr base::duration kMaxBackOff = std::chrono::seconds(30);
 
 }  // namespace
 
-bool object_store::TakeBudget(const platform::object& object, bool deleted) {
+bool object_store::TakeBudget(const store::object& object, bool deleted) {
   if (deleted) {
     budget_ = weight_budget();
     return true;
@@ -28,7 +28,7 @@
 }
 
 std::optional<object_store::change> object_store::Take(
-    const platform::object& object,
+    const store::object& object,
     bool deleted) {
   base::revision& floor = floor_[object.key.name];
   if (object.version < floor) {
@@ -64,11 +64,11 @@
 }
 
 std::vector<object_store::change> object_store::TakeAll(
-    const std::vector<platform::object>& objects) {
+    const std::vector<store::object>& objects) {
   listed_ = true;
   std::vector<change> changed;
   std::set<std::string> present;
-  for (const platform::object& object : objects) {
+  for (const store::object& object : objects) {
     present.insert(object.key.name);
     if (auto one = Take(object, false))
       changed.push_back(std::move(*one));
@@ -87,9 +87,9 @@
   return held == back_off_.end() || held->second.until <= now;
 }
 
-platform::call object_store::Start(operation op, const std::string& name) {
-  platform::call call;
-  call.id = platform::call_id(next_call_++);
+store::call object_store::Start(operation op, const std::string& name) {
+  store::call call;
+  call.id = store::call_id(next_call_++);
   call.op = op;
   call.key = {kAllocationKind, name};
   pending_[call.id] = {name, op};
@@ -97,18 +97,18 @@
   return call;
 }
 
-platform::call object_store::Write(const std::string& name,
-                                   base::revision expected,
-                                   std::string value) {
+store::call object_store::Write(const std::string& name,
+                                base::revision expected,
+                                std::string value) {
   const bool create = expected == base::revision();
-  platform::call call =
+  store::call call =
       Start(create ? operation::kCreate : operation::kUpdate, name);
   call.expected = expected;
   call.value = std::move(value);
   return call;
 }
 
-platform::call object_store::Read(const std::string& name) {
+store::call object_store::Read(const std::string& name) {
   return Start(operation::kGet, name);
 }
 
@@ -123,7 +123,7 @@
 }
 
 std::optional<object_store::settled> object_store::Settle(
-    const platform::reply& reply,
+    const store::reply& reply,
     base::time_point now) {
   const auto found = pending_.find(reply.id);
   if (found == pending_.end())
@@ -156,8 +156,8 @@
   return out;
 }
 
-std::vector<platform::call> object_store::DueReads(base::time_point now) {
-  std::vector<platform::call> calls;
+std::vector<store::call> object_store::DueReads(base::time_point now) {
+  std::vector<store::call> calls;
   for (const auto& [name, held] : back_off_) {
     if (held.until <= now && !busy_.contains(name))
       calls.push_back(Read(name));
--- a/packages/replica/object_store.h
+++ b/packages/replica/object_store.h
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "base/random.h"
-#include "platform/messages.h"
 #include "replica/survey.h"
 #include "replica/weight_budget.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::replica {
 
@@ -30,9 +30,9 @@
 
   /// Takes an object unless a later version of it is known.
   /// @return the change of an allocation, if it made one.
-  std::optional<change> Take(const platform::object& object, bool deleted);
+  std::optional<change> Take(const store::object& object, bool deleted);
   /// Takes the whole list.
-  std::vector<change> TakeAll(const std::vector<platform::object>& objects);
+  std::vector<change> TakeAll(const std::vector<store::object>& objects);
 
   const allocations& known() const { return known_; }
   const weight_budget& budget() const { return budget_; }
@@ -41,24 +41,24 @@
 
   /// @return whether a call on @p name may start now.
   bool Free(const std::string& name, base::time_point now) const;
-  platform::call Write(const std::string& name,
-                       base::revision expected,
-                       std::string value);
-  platform::call Read(const std::string& name);
+  store::call Write(const std::string& name,
+                    base::revision expected,
+                    std::string value);
+  store::call Read(const std::string& name);
 
   struct settled {
     std::string name;
     bool read_ok = false;  ///< A read that found the object as it is now.
     std::optional<change> changed;
-    std::optional<platform::call> next;  ///< Reads back what is unsettled.
+    std::optional<store::call> next;  ///< Reads back what is unsettled.
   };
   /// Takes the reply to one of this node's calls.
   /// @return nothing when the call is not of this store.
-  std::optional<settled> Settle(const platform::reply& reply,
+  std::optional<settled> Settle(const store::reply& reply,
                                 base::time_point now);
 
   /// Starts the reads that back-off has held until @p now.
-  std::vector<platform::call> DueReads(base::time_point now);
+  std::vector<store::call> DueReads(base::time_point now);
   std::optional<base::time_point> NextRead() const;
 
   std::uint64_t malformed() const { return malformed_; }
@@ -69,23 +69,23 @@
  private:
   struct pending {
     std::string name;
-    platform::operation op = platform::operation::kGet;
+    store::operation op = store::operation::kGet;
   };
   struct back_off {
     base::time_point until{};
     base::duration step{};
   };
 
-  platform::call Start(platform::operation op, const std::string& name);
+  store::call Start(store::operation op, const std::string& name);
   void BackOff(const std::string& name, base::time_point now);
-  bool TakeBudget(const platform::object& object, bool deleted);
+  bool TakeBudget(const store::object& object, bool deleted);
 
   allocations known_;
   weight_budget budget_;
   bool listed_ = false;
   base::random_engine random_;
   std::uint64_t next_call_ = 1;
-  std::map<platform::call_id, pending> pending_;
+  std::map<store::call_id, pending> pending_;
   std::set<std::string> busy_;
   std::map<std::string, back_off> back_off_;
   std::map<std::string, base::revision> floor_;  ///< Highest version seen.
--- a/packages/replica/tests/correctness/allocation_survives_a_round_trip.cc
+++ b/packages/replica/tests/correctness/allocation_survives_a_round_trip.cc
@@ -21,7 +21,7 @@
        {{base::instance_id("i3"), 1}},
        base::epoch(7),
        true});
-  const platform::object object{
+  const store::object object{
       {kAllocationKind, "d1"}, base::revision(9), ToJson(written)};
   CHECK(AllocationFromObject(object) == written);
 }
--- a/packages/replica/tests/error/a_broken_allocation_is_refused.cc
+++ b/packages/replica/tests/error/a_broken_allocation_is_refused.cc
@@ -24,7 +24,7 @@
   };
   for (const refused& each : cases) {
     INFO(each.value);
-    const platform::object object{
+    const store::object object{
         {kAllocationKind, "d1"}, base::revision(1), each.value};
     CHECK_THROWS_WITH(AllocationFromObject(object),
                       Catch::Contains(each.message));
--- a/packages/replica/tests/fleet_harness.h
+++ b/packages/replica/tests/fleet_harness.h
@@ -165,9 +165,9 @@
   void Give(const base::node_id& id, const Input& input);
   void Perform(const base::node_id& id, effects out);
   void SetTimer(const base::node_id& id);
-  void Call(const base::node_id& id, const platform::call& call);
-  platform::reply Apply(const platform::call& call);
-  void Watched(const platform::object& object);
+  void Call(const base::node_id& id, const store::call& call);
+  store::reply Apply(const store::call& call);
+  void Watched(const store::object& object);
   bool Reaches(const fake_node& node, const fake_instance& instance) const;
   void Ask(const base::node_id& id, std::vector<endpoint::instance> targets);
   void Order(const base::node_id& id, const endpoint::order& order);
@@ -186,7 +186,7 @@
   std::uint64_t sequence_ = 0;
   std::priority_queue<event> events_;
   store_faults store_faults_;
-  std::map<std::string, platform::object> objects_;
+  std::map<std::string, store::object> objects_;
   std::uint64_t revision_ = 0;
   std::uint64_t checked_revision_ = 0;
   time_point checked_at_{};
--- a/packages/replica/tests/fleet_harness_inl.h
+++ b/packages/replica/tests/fleet_harness_inl.h
@@ -119,7 +119,7 @@
   node.just_resumed = false;
   for (const serving_changed& change : out.serving)
     node.serving[change.replica.replica] = change.replica;
-  for (const platform::call& call : out.calls)
+  for (const store::call& call : out.calls)
     Call(id, call);
   for (const endpoint::order& order : out.orders)
     Order(id, order);
@@ -167,22 +167,22 @@
   return done();
 }
 
-inline platform::reply fleet::Apply(const platform::call& call) {
-  platform::reply reply;
+inline store::reply fleet::Apply(const store::call& call) {
+  store::reply reply;
   reply.id = call.id;
   const auto found = objects_.find(call.key.name);
   const bool exists = found != objects_.end();
   const base::revision current =
       exists ? found->second.version : base::revision();
-  if (call.op == platform::operation::kGet) {
-    reply.outcome = exists ? platform::call_outcome::kOk
-                           : platform::call_outcome::kNotFound;
+  if (call.op == store::operation::kGet) {
+    reply.outcome =
+        exists ? store::call_outcome::kOk : store::call_outcome::kNotFound;
   } else if (current != call.expected) {
-    reply.outcome = platform::call_outcome::kConflict;
+    reply.outcome = store::call_outcome::kConflict;
   } else {
-    platform::object& object = objects_[call.key.name];
+    store::object& object = objects_[call.key.name];
     object = {call.key, base::revision(++revision_), call.value};
-    reply.outcome = platform::call_outcome::kOk;
+    reply.outcome = store::call_outcome::kOk;
     Watched(object);
   }
   if (objects_.contains(call.key.name))
@@ -190,7 +190,7 @@
   return reply;
 }
 
-inline void fleet::Watched(const platform::object& object) {
+inline void fleet::Watched(const store::object& object) {
   for (const auto& [id, node] : nodes_) {
     if (!node.platform_cut)
       After(kHop * 5, [this, id = id, object] {
@@ -199,18 +199,18 @@
   }
 }
 
-inline void fleet::Call(const base::node_id& id, const platform::call& call) {
+inline void fleet::Call(const base::node_id& id, const store::call& call) {
   fake_node& node = nodes_.at(id);
   ++node.calls;
-  const bool write = call.op != platform::operation::kGet;
-  const auto answer = [this, id](duration delay, platform::reply reply) {
+  const bool write = call.op != store::operation::kGet;
+  const auto answer = [this, id](duration delay, store::reply reply) {
     After(delay, [this, id, reply] { Give(id, reply); });
   };
-  platform::reply lost;
+  store::reply lost;
   lost.id = call.id;
-  lost.outcome = platform::call_outcome::kUnknown;
+  lost.outcome = store::call_outcome::kUnknown;
   if (store_faults_.down || node.platform_cut) {
-    lost.outcome = platform::call_outcome::kUnavailable;
+    lost.outcome = store::call_outcome::kUnavailable;
     answer(seconds(2), lost);
     return;
   }
@@ -224,7 +224,7 @@
   const bool lose = write && store_faults_.lose_answers > 0;
   store_faults_.lose_answers -= lose;
   After(way, [this, call, answer, lose, lost, way] {
-    const platform::reply reply = Apply(call);
+    const store::reply reply = Apply(call);
     lose ? answer(seconds(2), lost) : answer(way, reply);
   });
 }
--- a/packages/replica/weight_budget.cc
+++ b/packages/replica/weight_budget.cc
@@ -145,7 +145,7 @@
   return json::serialize(json::object{{"grants", std::move(grants)}});
 }
 
-weight_budget WeightBudgetFromObject(const platform::object& source) {
+weight_budget WeightBudgetFromObject(const store::object& source) {
   base::json_problems problems;
   weight_budget read;
   read.version = source.version;
--- a/packages/replica/weight_budget.h
+++ b/packages/replica/weight_budget.h
@@ -37,7 +37,7 @@
 
 std::string ToJson(const weight_budget& written);
 /// @throws allocation_error naming the first problem.
-weight_budget WeightBudgetFromObject(const platform::object& source);
+weight_budget WeightBudgetFromObject(const store::object& source);
 
 /// Drops grants whose load is over and gives free slots to the replicas that
 /// return to service with the fewest loads, whole replicas first.
