--- a/packages/runtime/http_client.cc
+++ b/packages/runtime/http_client.cc
@@ -1,11 +1,17 @@
 #include "runtime/http_client.h"
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <array>
+#include <charconv>
+#include <cstring>
 #include <utility>
 
 namespace flamingoshunt::runtime {
@@ -19,6 +25,22 @@
 constexpr std::size_t kMaxIdlePerAddress = 64;  // connections
 constexpr auto kSilenceBound = std::chrono::seconds(10);
 constexpr int kHttpVersion = 11;  // HTTP/1.1 as Beast counts
+// An idle connection is given up so long before the other end would close it:
+// a request that crosses the close is lost.
+constexpr auto kIdleMargin = std::chrono::milliseconds(700);
+
+// @return the timeout of a Keep-Alive field, in whole seconds.
+base::duration AnnouncedIdle(const http::response_header<>& header) {
+  const auto value = header[http::field::keep_alive];
+  const std::string text(value.data(), value.size());
+  const auto at = text.find("timeout=");
+  if (at == std::string::npos)
+    return {};
+  long seconds = 0;
+  const char* begin = text.data() + at + std::strlen("timeout=");
+  std::from_chars(begin, text.data() + text.size(), seconds);
+  return std::chrono::seconds(std::max(0L, seconds));
+}
 
 transport_failure FailureOf(const boost::system::error_code& error) {
   if (error == beast::error::timeout)
@@ -66,12 +88,19 @@
       [&](auto done) { stream_.async_connect(endpoint, std::move(done)); });
   if (connected.error || closed_) {
     Close();
-    throw transport_error(transport_failure::kConnect,
+    const bool refused =
+        connected.error == boost::asio::error::connection_refused;
+    throw transport_error(refused ? transport_failure::kRefused
+                                  : transport_failure::kConnect,
                           address + ": " + connected.error.message());
   }
   SetSocketOptions(stream_, kSilenceBound);
 }
 
+void http_connection::BoundSilence(base::duration silence) {
+  SetSocketOptions(stream_, silence);
+}
+
 void http_connection::Send(http_request& request, base::duration timeout) {
   reusable_ = false;
   request_may_have_left_ = false;
@@ -95,9 +124,26 @@
   });
   if (read.error)
     Fail(read.error);
+  announced_idle_ = AnnouncedIdle(parser_->get());
   return HeadOf(parser_->get());
 }
 
+bool http_connection::quiet() {
+  if (closed_ || buffer_.size() != 0)
+    return false;
+  char peeked = 0;
+  const auto count = ::recv(stream_.socket().native_handle(), &peeked, 1,
+                            MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void http_connection::ExpectAnother() {
+  reusable_ = false;
+  parser_.emplace();
+  parser_->header_limit(kMaxAnswerHeaderBytes);
+  parser_->body_limit(boost::none);
+}
+
 bool http_connection::ReadSome(std::string& out, base::duration timeout) {
   std::array<char, kReadBytes> bytes;
   while (!parser_->is_done()) {
@@ -116,7 +162,8 @@
       return true;
     }
   }
-  reusable_ = !closed_ && parser_->get().keep_alive();
+  reusable_ =
+      !closed_ && parser_->get().keep_alive() && buffer_.size() == 0;
   return false;
 }
 
@@ -129,11 +176,19 @@
 std::unique_ptr<http_connection> connection_pool::TakeIdle(
     const std::string& address) {
   const auto found = idle_.find(address);
-  if (found == idle_.end() || found->second.empty())
+  if (found == idle_.end())
     return nullptr;
-  auto connection = std::move(found->second.back());
-  found->second.pop_back();
-  return connection;
+  const auto now = std::chrono::steady_clock::now();
+  while (!found->second.empty()) {
+    idle_connection last = std::move(found->second.back());
+    found->second.pop_back();
+    const base::duration kept = last.connection->announced_idle();
+    const bool expired =
+        kept > base::duration::zero() && now - last.since > kept - kIdleMargin;
+    if (!expired && last.connection->quiet())
+      return std::move(last.connection);
+  }
+  return nullptr;
 }
 
 std::unique_ptr<http_connection> connection_pool::Open(
@@ -149,7 +204,7 @@
     return;
   auto& idle = idle_[connection->address()];
   if (idle.size() < kMaxIdlePerAddress)
-    idle.push_back(std::move(connection));
+    idle.push_back({std::move(connection), std::chrono::steady_clock::now()});
 }
 
 void connection_pool::Forget(const std::string& address) {
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -34,6 +34,10 @@
   /// @throws transport_error (kConnect).
   void Connect(const std::string& address, base::duration timeout);
 
+  /// Changes how long the other end may be silent on the wire, probes included,
+  /// before the kernel gives the connection up.
+  void BoundSilence(base::duration silence);
+
   /// Writes a whole request. @throws transport_error.
   void Send(http_request& request, base::duration timeout);
 
@@ -48,6 +52,15 @@
   /// Ends the connection; harmless when it is closed.
   void Close();
 
+  /// @return whether nothing has arrived since the last answer. Bytes that
+  ///         belong to no request, or the other end's close, make an idle
+  ///         connection unfit for another request.
+  bool quiet();
+
+  /// Reads the next answer on the same connection, after one that belonged to
+  /// an earlier request was read to its end.
+  void ExpectAnother();
+
   /// @return whether any byte of the last request may have left.
   bool request_may_have_left() const { return request_may_have_left_; }
 
@@ -57,6 +70,10 @@
 
   const std::string& address() const { return address_; }
 
+  /// @return how long the other end keeps the connection when idle, as it said
+  ///         last; zero when it didn't say.
+  base::duration announced_idle() const { return announced_idle_; }
+
  private:
   using body_parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -70,6 +87,7 @@
   bool request_may_have_left_ = false;
   bool reusable_ = false;
   bool closed_ = false;
+  base::duration announced_idle_{};
 };
 
 /// Idle connections by address, bounded for each address.
@@ -94,8 +112,13 @@
   void Clear() { idle_.clear(); }
 
  private:
+  struct idle_connection {
+    std::unique_ptr<http_connection> connection;
+    std::chrono::steady_clock::time_point since;
+  };
+
   boost::asio::io_context& loop_;
-  std::map<std::string, std::vector<std::unique_ptr<http_connection>>> idle_;
+  std::map<std::string, std::vector<idle_connection>> idle_;
 };
 
 struct http_reply {
--- a/packages/runtime/http_server.cc
+++ b/packages/runtime/http_server.cc
@@ -26,6 +26,7 @@
 namespace http = boost::beast::http;
 
 constexpr int kHttpVersion = 11;  // HTTP/1.1 as Beast counts
+constexpr std::size_t kFirstReadBytes = 4096;
 constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
 
 template <class Message>
@@ -51,10 +52,12 @@
 
 http_exchange::http_exchange(tcp_stream& stream,
                              http_request request,
-                             const http_server_options& options)
+                             const http_server_options& options,
+                             const bool& closing)
     : stream_(stream),
       request_(std::move(request)),
       options_(options),
+      closing_(closing),
       keep_alive_(request_.keep_alive()) {}
 
 http_exchange::~http_exchange() {
@@ -92,6 +95,7 @@
                               std::string_view content_type,
                               std::string body,
                               const http_fields& fields) {
+  keep_alive_ = keep_alive_ && !closing_;
   http::response<http::string_body> response(static_cast<http::status>(status),
                                              kHttpVersion);
   SetFields(response, content_type, fields, keep_alive_);
@@ -109,6 +113,7 @@
 void http_exchange::StartStream(int status,
                                 std::string_view content_type,
                                 const http_fields& fields) {
+  keep_alive_ = keep_alive_ && !closing_;
   http::response<http::empty_body> response(static_cast<http::status>(status),
                                             kHttpVersion);
   SetFields(response, content_type, fields, keep_alive_);
@@ -176,6 +181,7 @@
   handler handle;
   std::list<std::shared_ptr<connection>> open;
   bool accepting = true;
+  bool closing = false;
   tcp::endpoint bound;
 };
 
@@ -238,9 +244,22 @@
   parser.body_limit(options.max_body_bytes);
   peer.idle = true;
   peer.stream.expires_after(options.idle_timeout);
-  const io_result read = AwaitIo([&](auto done) {
-    http::async_read(peer.stream, buffer, parser, std::move(done));
-  });
+  io_result read;
+  if (buffer.size() == 0 && options.request_timeout > base::duration::zero()) {
+    // Only the wait for the first byte is idle time.
+    read = AwaitIo([&](auto done) {
+      peer.stream.async_read_some(buffer.prepare(kFirstReadBytes),
+                                  std::move(done));
+    });
+    buffer.commit(read.bytes);
+    peer.idle = false;
+    peer.stream.expires_after(options.request_timeout);
+  }
+  if (!read.error) {
+    read = AwaitIo([&](auto done) {
+      http::async_read(peer.stream, buffer, parser, std::move(done));
+    });
+  }
   peer.idle = false;
   if (read.error) {
     const bool too_large = read.error == http::error::body_limit;
@@ -251,7 +270,7 @@
         read.error != http::error::end_of_stream &&
         read.error != http::error::partial_message;
     if (malformed) {
-      http_exchange exchange(peer.stream, parser.release(), options);
+      http_exchange exchange(peer.stream, parser.release(), options, closing);
       exchange.SendWhole(
           too_large ? 413 : (long_header ? 431 : 400),
           "application/problem+json",
@@ -261,7 +280,7 @@
     }
     return false;
   }
-  http_exchange exchange(peer.stream, parser.release(), options);
+  http_exchange exchange(peer.stream, parser.release(), options, closing);
   Answer(exchange);
   return exchange.keep_alive();
 }
@@ -296,8 +315,17 @@
   SpawnFiber([self = state_] { self->AcceptLoop(); });
 }
 
+void http_server::SetOptions(const http_server_options& options) {
+  state_->options = options;
+}
+
+void http_server::CloseAfterAnswers() {
+  state_->closing = true;
+}
+
 void http_server::StopAccepting() {
   state_->accepting = false;
+  state_->closing = true;
   beast::error_code ignored;
   state_->acceptor.close(ignored);
   for (const auto& peer : state_->open) {
--- a/packages/runtime/http_server.h
+++ b/packages/runtime/http_server.h
@@ -31,6 +31,9 @@
   std::size_t max_connections = 10'000;
   /// A connection that sends no request for so long is closed.
   base::duration idle_timeout = std::chrono::seconds(60);
+  /// A request that has begun must be here whole within this; zero leaves it to
+  /// the idle timeout.
+  base::duration request_timeout{};
   /// A caller that takes no byte of its answer for so long is given up.
   base::duration write_timeout = std::chrono::seconds(20);
   bool share_port = false;  ///< Several threads listen on one port.
@@ -39,9 +42,12 @@
 /// One request and its answer. Used by the fiber that the handler runs in.
 class http_exchange {
  public:
+  /// @param closing whether connections close after their current answer; read
+  ///        when an answer begins.
   http_exchange(tcp_stream& stream,
                 http_request request,
-                const http_server_options& options);
+                const http_server_options& options,
+                const bool& closing);
   ~http_exchange();
   http_exchange(const http_exchange&) = delete;
   http_exchange& operator=(const http_exchange&) = delete;
@@ -83,6 +89,7 @@
   tcp_stream& stream_;
   http_request request_;
   const http_server_options& options_;
+  const bool& closing_;
   std::shared_ptr<caller_watch> watch_;
   bool answered_ = false;
   bool keep_alive_ = true;
@@ -104,6 +111,13 @@
   /// Starts the accepting fiber; call on the loop's thread, inside RunFibers.
   void Start();
 
+  /// Changes the bounds for what is read from now on.
+  void SetOptions(const http_server_options& options);
+
+  /// Answers from now on tell their callers to open a new connection next time;
+  /// new connections are still accepted.
+  void CloseAfterAnswers();
+
   /// Stops accepting. Exchanges under way go on; each connection closes after
   /// its current answer, idle ones at once.
   void StopAccepting();
--- a/packages/runtime/tcp.h
+++ b/packages/runtime/tcp.h
@@ -23,7 +23,13 @@
     boost::beast::basic_stream<tcp, boost::asio::io_context::executor_type>;
 
 /// What went wrong with a connection.
-enum class transport_failure { kConnect, kTimeout, kClosed, kMalformed };
+enum class transport_failure {
+  kConnect,
+  kRefused,  ///< Nobody listens at the address.
+  kTimeout,
+  kClosed,
+  kMalformed
+};
 
 class transport_error : public std::runtime_error {
  public:
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -27,6 +27,10 @@
 constexpr std::int64_t kMaxFleet = 4096;  // nodes
 constexpr std::int64_t kMaxConnections = 65536;
 constexpr std::int64_t kMaxRequests = 262144;
+constexpr double kMaxRetryRatio = 10;
+constexpr double kMaxRetrySlack = 1e9;
+constexpr double kShortestWindowSeconds = 0.1;
+constexpr double kLongestWindowSeconds = 3600;
 constexpr std::int64_t kMaxSpans = 1 << 20;
 
 constexpr const char* kAddressRule =
@@ -202,6 +206,29 @@
       ReadSize(reader, "span_ring", 0, kMaxSpans, telemetry.span_ring);
 }
 
+void ReadGateway(object_reader& reader,
+                 json_problems&,
+                 gateway_settings& gateway) {
+  gateway.ready = ReadAddress(reader, "ready");
+  gateway.retry_ratio =
+      reader.Number("retry_ratio", 0, kMaxRetryRatio, gateway.retry_ratio);
+  gateway.retry_slack =
+      reader.Number("retry_slack", 0, kMaxRetrySlack, gateway.retry_slack);
+  const double window_s = reader.Number(
+      "retry_window_s", kShortestWindowSeconds, kLongestWindowSeconds,
+      std::chrono::duration<double>(gateway.retry_window).count());
+  gateway.retry_window = std::chrono::duration_cast<milliseconds>(
+      std::chrono::duration<double>(window_s));
+  gateway.stall =
+      reader.Milliseconds("stall_ms", kShortest, kLongest, gateway.stall);
+  const double grace_s = reader.Number(
+      "grace_s", 0, kLongestWindowSeconds,
+      std::chrono::duration<double>(gateway.grace).count());
+  gateway.grace = std::chrono::duration_cast<milliseconds>(
+      std::chrono::duration<double>(grace_s));
+  gateway.first_start = reader.Boolean("first_start", gateway.first_start);
+}
+
 }  // namespace
 
 std::string ip_endpoint::Text() const {
@@ -242,7 +269,12 @@
     all.listen = ReadSection(whole, "listen", true, problems, &ReadListen);
     all.platform =
         ReadSection(whole, "platform", true, problems, &ReadPlatform);
-    all.peers = ReadSection(whole, "peers", true, problems, &ReadPeers);
+    const bool gateway = whole.Has("gateway");
+    // Gateways tell each other nothing that needs the key.
+    all.peers = ReadSection(whole, "peers", !gateway, problems, &ReadPeers);
+    if (gateway)
+      all.gateway =
+          ReadSection(whole, "gateway", true, problems, &ReadGateway);
     all.threads = ReadSection(whole, "threads", false, problems, &ReadThreads);
     all.sizes = ReadSection(whole, "sizes", false, problems, &ReadSizes);
     all.timeouts =
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -91,6 +91,21 @@
   std::size_t span_ring = 4096;  ///< Spans kept for `flamingoshuntctl trace`.
 };
 
+/// The gateway: requests pass through to replicas that the deployment lists.
+struct gateway_settings {
+  ip_endpoint ready;  ///< Where the balancer asks whether to send callers.
+  double retry_ratio = 0.2;  ///< Repeats for each request, over the fleet.
+  double retry_slack = 10;   ///< Repeats beyond that, over the fleet.
+  std::chrono::milliseconds retry_window{10000};
+  /// How long a replica that lost a member stands still before it breaks.
+  std::chrono::milliseconds stall{4000};
+  /// From the request to stop until the process is killed.
+  std::chrono::milliseconds grace{8000};
+  /// Whether the whole deployment starts for the first time, so that no caller
+  /// can have come yet.
+  bool first_start = false;
+};
+
 /// All settings of one flamingoshuntd.
 struct daemon_settings {
   identity self;
@@ -102,6 +117,8 @@
   timeout_bounds timeouts;
   freshness_bounds freshness;
   telemetry_settings telemetry;
+  /// Present when this process is a gateway.
+  std::optional<gateway_settings> gateway;
 };
 
 /// Whether port 0 ("any free one") is a port; it is for listening only.
--- a/packages/platform/backoff.h
+++ b/packages/store/backoff.h
@@ -1,8 +1,8 @@
 // Defines exponential back-off with full jitter: the n-th wait is uniform
 // between zero and low * 2^n, at most high. Full jitter spreads the nodes of a
 // fleet evenly, so that the platform's return meets no crowd.
-#ifndef FLAMINGOSHUNT_PLATFORM_BACKOFF_H_
-#define FLAMINGOSHUNT_PLATFORM_BACKOFF_H_
+#ifndef FLAMINGOSHUNT_STORE_BACKOFF_H_
+#define FLAMINGOSHUNT_STORE_BACKOFF_H_
 
 #include <algorithm>
 #include <chrono>
@@ -10,7 +10,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 class backoff {
  public:
@@ -34,6 +34,6 @@
   int doublings_ = 0;
 };
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
 
-#endif  // FLAMINGOSHUNT_PLATFORM_BACKOFF_H_
+#endif  // FLAMINGOSHUNT_STORE_BACKOFF_H_
--- a/packages/platform/call_ids.h
+++ b/packages/store/call_ids.h
@@ -1,13 +1,13 @@
 // Defines how the slices of one node share the space of call ids, so that the
 // platform client's replies find their way back: the top byte names the owner.
-#ifndef FLAMINGOSHUNT_PLATFORM_CALL_IDS_H_
-#define FLAMINGOSHUNT_PLATFORM_CALL_IDS_H_
+#ifndef FLAMINGOSHUNT_STORE_CALL_IDS_H_
+#define FLAMINGOSHUNT_STORE_CALL_IDS_H_
 
 #include <cstdint>
 
-#include "platform/messages.h"
+#include "store/messages.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 enum class call_owner : std::uint8_t {
   kClient = 1,
@@ -37,6 +37,6 @@
   return static_cast<call_owner>(id.value() >> kOwnerShift);
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
 
-#endif  // FLAMINGOSHUNT_PLATFORM_CALL_IDS_H_
+#endif  // FLAMINGOSHUNT_STORE_CALL_IDS_H_
--- a/packages/platform/call_queue.cc
+++ b/packages/store/call_queue.cc
@@ -1,8 +1,8 @@
-#include "platform/call_queue.h"
+#include "store/call_queue.h"
 
 #include <algorithm>
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 std::optional<call> call_queue::Add(const call& request, base::time_point now) {
   const auto place = static_cast<std::size_t>(request.priority);
@@ -63,4 +63,4 @@
   return total;
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
--- a/packages/platform/call_queue.h
+++ b/packages/store/call_queue.h
@@ -1,16 +1,16 @@
 // Defines the calls that wait for the budget or for the end of an outage: by
 // priority, then first come first served, bounded in number and in time.
-#ifndef FLAMINGOSHUNT_PLATFORM_CALL_QUEUE_H_
-#define FLAMINGOSHUNT_PLATFORM_CALL_QUEUE_H_
+#ifndef FLAMINGOSHUNT_STORE_CALL_QUEUE_H_
+#define FLAMINGOSHUNT_STORE_CALL_QUEUE_H_
 
 #include <array>
 #include <deque>
 #include <optional>
 #include <vector>
 
-#include "platform/messages.h"
+#include "store/messages.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 /// A call with less of its timeout left is not worth sending.
 inline constexpr base::duration kMinTimeLeft = std::chrono::milliseconds(50);
@@ -50,6 +50,6 @@
   std::array<std::deque<waiting>, kPriorities> by_priority_;
 };
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
 
-#endif  // FLAMINGOSHUNT_PLATFORM_CALL_QUEUE_H_
+#endif  // FLAMINGOSHUNT_STORE_CALL_QUEUE_H_
--- a/packages/platform/client.cc
+++ b/packages/store/client.cc
@@ -1,12 +1,12 @@
-#include "platform/client.h"
+#include "store/client.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/errors.h"
-#include "platform/http_codec.h"
+#include "store/http_codec.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 namespace {
 
 constexpr base::duration kListTimeout = std::chrono::seconds(2);
@@ -356,4 +356,4 @@
   return nullptr;
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
--- a/packages/platform/client.h
+++ b/packages/store/client.h
@@ -4,8 +4,8 @@
 // time, and keeps watches gapless: a broken watch resumes after its last
 // revision, a gap is bridged by a full list. docs/design/platform-client.md
 // weighs the ways.
-#ifndef FLAMINGOSHUNT_PLATFORM_CLIENT_H_
-#define FLAMINGOSHUNT_PLATFORM_CLIENT_H_
+#ifndef FLAMINGOSHUNT_STORE_CLIENT_H_
+#define FLAMINGOSHUNT_STORE_CLIENT_H_
 
 #include <cstdint>
 #include <map>
@@ -13,14 +13,14 @@
 #include <vector>
 
 #include "base/random.h"
-#include "platform/backoff.h"
-#include "platform/call_ids.h"
-#include "platform/call_queue.h"
-#include "platform/kind_view.h"
-#include "platform/messages.h"
-#include "platform/token_bucket.h"
+#include "store/backoff.h"
+#include "store/call_ids.h"
+#include "store/call_queue.h"
+#include "store/kind_view.h"
+#include "store/messages.h"
+#include "store/token_bucket.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 struct client_options {
   double calls_per_second = 20;
@@ -153,6 +153,6 @@
   client_counters counters_;
 };
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
 
-#endif  // FLAMINGOSHUNT_PLATFORM_CLIENT_H_
+#endif  // FLAMINGOSHUNT_STORE_CLIENT_H_
--- a/packages/platform/http_codec.cc
+++ b/packages/store/http_codec.cc
@@ -1,4 +1,4 @@
-#include "platform/http_codec.h"
+#include "store/http_codec.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -8,7 +8,7 @@
 
 #include "base/checked_json.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 namespace {
 
 constexpr std::string_view kObjects = "/v1/objects/";
@@ -392,4 +392,4 @@
   return event;
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
--- a/packages/platform/http_codec.h
+++ b/packages/store/http_codec.h
@@ -1,17 +1,17 @@
 // Defines the platform's protocol as pure functions: calls, replies and watch
 // events to and from HTTP messages. The client and the platform stand-in share
 // it; sockets are elsewhere. docs/interfaces/platform.md gives every message.
-#ifndef FLAMINGOSHUNT_PLATFORM_HTTP_CODEC_H_
-#define FLAMINGOSHUNT_PLATFORM_HTTP_CODEC_H_
+#ifndef FLAMINGOSHUNT_STORE_HTTP_CODEC_H_
+#define FLAMINGOSHUNT_STORE_HTTP_CODEC_H_
 
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/errors.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 struct http_header {
   std::string name;  ///< In the spelling of the constants below.
@@ -76,6 +76,6 @@
 watch_event DecodeWatchEvent(const watch_request& request,
                              std::string_view line);
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
 
-#endif  // FLAMINGOSHUNT_PLATFORM_HTTP_CODEC_H_
+#endif  // FLAMINGOSHUNT_STORE_HTTP_CODEC_H_
--- a/packages/platform/kind_view.cc
+++ b/packages/store/kind_view.cc
@@ -1,9 +1,9 @@
-#include "platform/kind_view.h"
+#include "store/kind_view.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 watch_event kind_view::Bookmark(base::revision at) const {
   return {subscriber_, watch_event_kind::kBookmark, {{kind_, ""}, at, ""}};
@@ -78,4 +78,4 @@
   return *behind_since_ + kBehindGrace;
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
--- a/packages/platform/kind_view.h
+++ b/packages/store/kind_view.h
@@ -7,17 +7,17 @@
 //   List at 6 instead: the platform is behind 7, so nothing is passed on until
 //   it has caught up, or has stayed behind for kBehindGrace. Then it was
 //   restored from an old copy, and its state is passed on as it is.
-#ifndef FLAMINGOSHUNT_PLATFORM_KIND_VIEW_H_
-#define FLAMINGOSHUNT_PLATFORM_KIND_VIEW_H_
+#ifndef FLAMINGOSHUNT_STORE_KIND_VIEW_H_
+#define FLAMINGOSHUNT_STORE_KIND_VIEW_H_
 
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "platform/messages.h"
+#include "store/messages.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 /// How long a platform may lag behind what it has shown before it counts as
 /// restored from an old copy.
@@ -61,6 +61,6 @@
   bool needs_list_ = true;
 };
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
 
-#endif  // FLAMINGOSHUNT_PLATFORM_KIND_VIEW_H_
+#endif  // FLAMINGOSHUNT_STORE_KIND_VIEW_H_
--- a/packages/platform/messages.h
+++ b/packages/store/messages.h
@@ -2,8 +2,8 @@
 // objects with versions, conditional writes, and watches. Versions are
 // revisions of the whole store: every write anywhere raises the number, and an
 // object's version is the revision of its last write.
-#ifndef FLAMINGOSHUNT_PLATFORM_MESSAGES_H_
-#define FLAMINGOSHUNT_PLATFORM_MESSAGES_H_
+#ifndef FLAMINGOSHUNT_STORE_MESSAGES_H_
+#define FLAMINGOSHUNT_STORE_MESSAGES_H_
 
 #include <optional>
 #include <string>
@@ -12,7 +12,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 /// Names one object. Kinds in use: "entry", "workspace", "instance",
 /// "allocation", "claim-00" to "claim-ff", "node", "roster" and "drain".
@@ -96,6 +96,6 @@
   watch_id id;
 };
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
 
-#endif  // FLAMINGOSHUNT_PLATFORM_MESSAGES_H_
+#endif  // FLAMINGOSHUNT_STORE_MESSAGES_H_
--- a/packages/platform/platform_port.h
+++ b/packages/store/platform_port.h
@@ -2,12 +2,16 @@
 // platform client asks of whatever carries its calls. The daemon carries them
 // by HTTP; tests answer from memory. docs/INTERFACES.md gives the HTTP
 // messages.
-#ifndef FLAMINGOSHUNT_PLATFORM_PLATFORM_PORT_H_
-#define FLAMINGOSHUNT_PLATFORM_PLATFORM_PORT_H_
+#ifndef FLAMINGOSHUNT_STORE_PLATFORM_PORT_H_
+#define FLAMINGOSHUNT_STORE_PLATFORM_PORT_H_
 
-#include "platform/messages.h"
+#include <functional>
+#include <memory>
+#include <variant>
 
-namespace flamingoshunt::platform {
+#include "store/messages.h"
+
+namespace flamingoshunt::store {
 
 class platform_port {
  public:
@@ -24,6 +28,10 @@
   virtual void StopWatch(watch_id id) = 0;
 };
 
-}  // namespace flamingoshunt::platform
+/// What a port delivers to the client.
+using port_news = std::variant<reply, watch_event, watch_ended>;
+using port_receiver = std::function<void(port_news)>;
+
+}  // namespace flamingoshunt::store
 
-#endif  // FLAMINGOSHUNT_PLATFORM_PLATFORM_PORT_H_
+#endif  // FLAMINGOSHUNT_STORE_PLATFORM_PORT_H_
--- a/packages/platform/settled_write.cc
+++ b/packages/store/settled_write.cc
@@ -1,11 +1,11 @@
-#include "platform/settled_write.h"
+#include "store/settled_write.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/errors.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 settled_write::settled_write(call write,
                              call_id_source& ids,
@@ -128,4 +128,4 @@
          found->version > write_.expected && found->value == write_.value;
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
--- a/packages/platform/settled_write.h
+++ b/packages/store/settled_write.h
@@ -8,15 +8,15 @@
 //                             sent again: both expect version 5, and the first
 //                             that applies raises it, so at most one can.
 //     a@8, another value   -> conflict; ours may have come and gone in between.
-#ifndef FLAMINGOSHUNT_PLATFORM_SETTLED_WRITE_H_
-#define FLAMINGOSHUNT_PLATFORM_SETTLED_WRITE_H_
+#ifndef FLAMINGOSHUNT_STORE_SETTLED_WRITE_H_
+#define FLAMINGOSHUNT_STORE_SETTLED_WRITE_H_
 
 #include <optional>
 
-#include "platform/call_ids.h"
-#include "platform/messages.h"
+#include "store/call_ids.h"
+#include "store/messages.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 enum class write_result {
   kApplied,
@@ -84,6 +84,6 @@
   std::optional<object> current_;
 };
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
 
-#endif  // FLAMINGOSHUNT_PLATFORM_SETTLED_WRITE_H_
+#endif  // FLAMINGOSHUNT_STORE_SETTLED_WRITE_H_
--- a/packages/platform/tests/correctness/a_lost_write_is_settled_by_reading_back.cc
+++ b/packages/store/tests/correctness/a_lost_write_is_settled_by_reading_back.cc
@@ -1,9 +1,9 @@
 #include <catch2/catch.hpp>
 
-#include "platform/settled_write.h"
 #include "stand_ins/platform_stand_in.h"
+#include "store/settled_write.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -132,4 +132,4 @@
         write_result::kUnsettled);
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
--- a/packages/platform/tests/correctness/a_watch_misses_nothing.cc
+++ b/packages/store/tests/correctness/a_watch_misses_nothing.cc
@@ -4,7 +4,7 @@
 
 #include "stand_ins/client_fleet.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -131,4 +131,4 @@
   CHECK(watcher.copy == watcher.Truth());
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
--- a/packages/platform/tests/correctness/calls_stay_inside_the_budget.cc
+++ b/packages/store/tests/correctness/calls_stay_inside_the_budget.cc
@@ -2,7 +2,7 @@
 
 #include "stand_ins/client_fleet.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 namespace {
 
 using std::chrono::minutes;
@@ -108,4 +108,4 @@
   CHECK(dropped->id == low.id);
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
--- a/packages/platform/tests/correctness/http_codec_round_trip.cc
+++ b/packages/store/tests/correctness/http_codec_round_trip.cc
@@ -1,9 +1,9 @@
 #include <catch2/catch.hpp>
 
-#include "platform/http_codec.h"
 #include "stand_ins/platform_store.h"
+#include "store/http_codec.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 namespace {
 
 call Call(operation op, std::string name, std::uint64_t expected = 0) {
@@ -72,4 +72,4 @@
   }
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
--- a/packages/platform/tests/error/a_response_outside_the_protocol_leaves_a_write_unknown.cc
+++ b/packages/store/tests/error/a_response_outside_the_protocol_leaves_a_write_unknown.cc
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 
-#include "platform/http_codec.h"
+#include "store/http_codec.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 namespace {
 
 struct sample {
@@ -44,4 +44,4 @@
   }
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
--- a/packages/platform/tests/fuzz/http_codec_survives_any_message.cc
+++ b/packages/store/tests/fuzz/http_codec_survives_any_message.cc
@@ -1,9 +1,9 @@
 #include <catch2/catch.hpp>
 
-#include "platform/http_codec.h"
+#include "store/http_codec.h"
 #include "tests/fixed_seed.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 namespace {
 
 constexpr int kCases = 500;
@@ -63,4 +63,4 @@
       kCases));
 }
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
--- a/packages/platform/token_bucket.h
+++ b/packages/store/token_bucket.h
@@ -1,14 +1,14 @@
 // Defines the call budget of one node: a token bucket in virtual time. The
 // platform counts every call and every started watch as one; so does this.
-#ifndef FLAMINGOSHUNT_PLATFORM_TOKEN_BUCKET_H_
-#define FLAMINGOSHUNT_PLATFORM_TOKEN_BUCKET_H_
+#ifndef FLAMINGOSHUNT_STORE_TOKEN_BUCKET_H_
+#define FLAMINGOSHUNT_STORE_TOKEN_BUCKET_H_
 
 #include <algorithm>
 #include <chrono>
 
 #include "base/clock.h"
 
-namespace flamingoshunt::platform {
+namespace flamingoshunt::store {
 
 class token_bucket {
  public:
@@ -58,6 +58,6 @@
   base::time_point refilled_{};
 };
 
-}  // namespace flamingoshunt::platform
+}  // namespace flamingoshunt::store
 
-#endif  // FLAMINGOSHUNT_PLATFORM_TOKEN_BUCKET_H_
+#endif  // FLAMINGOSHUNT_STORE_TOKEN_BUCKET_H_
--- a/packages/telemetry/log.h
+++ b/packages/telemetry/log.h
@@ -23,8 +23,16 @@
   log_level lowest = log_level::kInfo;  ///< Lower ones are dropped.
   std::string node;                     ///< Printed in each line.
   std::ostream* stream = nullptr;       ///< Standard error when null.
+  /// Writes to standard output from a thread of its own, behind a bounded
+  /// queue, so that a slow reader delays nobody; goes before @c stream.
+  bool to_standard_output = false;
+  /// Lines above this are counted, not written; 0 is no bound.
+  double lines_per_second = 0;
 };
 
+/// @return lines that the bound or the full queue kept out so far.
+std::uint64_t DroppedLogLines();
+
 /// Sets up the log of the process; may be called again to change it.
 void SetUpLog(const log_settings& settings);
 
@@ -57,6 +65,10 @@
   }
 };
 
+/// Waits until what was logged is written, for at most a moment; before the
+/// process ends.
+void FlushLog();
+
 /// Writes one line. Before SetUpLog() it writes to standard error.
 /// @param component the slice, as in "membership".
 /// @param event     what changed, in snake case, as in "peer_dead".
--- a/stand_ins/client_fleet.cc
+++ b/stand_ins/client_fleet.cc
@@ -7,25 +7,25 @@
 namespace flamingoshunt::stand_ins {
 
 client_fleet::client_fleet(int nodes,
-                           const platform::client_options& options,
+                           const store::client_options& options,
                            std::uint64_t seed)
     : options_(options), seed_(seed) {
   for (int i = 0; i < nodes; ++i)
     clients_.emplace_back(options_, base::random_engine(seed_ + i));
 }
 
-void client_fleet::Submit(int node, const platform::call& request) {
+void client_fleet::Submit(int node, const store::call& request) {
   Carry(node, clients_[node].Submit(request, now_));
 }
 
-void client_fleet::Watch(int node, platform::watch_id id, std::string kind) {
+void client_fleet::Watch(int node, store::watch_id id, std::string kind) {
   Carry(node, clients_[node].Watch(id, std::move(kind), now_));
 }
 
 void client_fleet::Restart(int node) {
   platform.Disconnect(node);
   const auto fresh_seed = seed_ + 1000 * ++restarts_ + node;
-  clients_[node] = platform::client(options_, base::random_engine(fresh_seed));
+  clients_[node] = store::client(options_, base::random_engine(fresh_seed));
 }
 
 void client_fleet::RunUntil(base::time_point end) {
@@ -44,7 +44,7 @@
 
 std::optional<base::time_point> client_fleet::NextTimer() {
   std::optional<base::time_point> next = platform.NextTimer();
-  for (platform::client& each : clients_) {
+  for (store::client& each : clients_) {
     const auto timer = each.NextTimer(now_);
     if (timer && (!next || *timer < *next))
       next = timer;
@@ -70,18 +70,18 @@
   return !due.empty();
 }
 
-void client_fleet::Carry(int node, platform::client_effects effects) {
-  for (const platform::watch_id id : effects.stop_watches)
+void client_fleet::Carry(int node, store::client_effects effects) {
+  for (const store::watch_id id : effects.stop_watches)
     platform.StopWatch(node, id);
-  for (const platform::call& request : effects.send)
+  for (const store::call& request : effects.send)
     platform.Send(node, request, now_);
-  for (const platform::watch_request& request : effects.start_watches)
+  for (const store::watch_request& request : effects.start_watches)
     platform.StartWatch(node, request, now_);
-  for (const platform::reply& answer : effects.replies) {
+  for (const store::reply& answer : effects.replies) {
     if (on_reply)
       on_reply(node, answer);
   }
-  for (const platform::watch_event& event : effects.events) {
+  for (const store::watch_event& event : effects.events) {
     if (on_event)
       on_event(node, event);
   }
--- a/stand_ins/client_fleet.h
+++ b/stand_ins/client_fleet.h
@@ -7,19 +7,19 @@
 #include <optional>
 #include <vector>
 
-#include "platform/client.h"
 #include "stand_ins/platform_stand_in.h"
+#include "store/client.h"
 
 namespace flamingoshunt::stand_ins {
 
 class client_fleet {
  public:
   client_fleet(int nodes,
-               const platform::client_options& options,
+               const store::client_options& options,
                std::uint64_t seed);
 
-  void Submit(int node, const platform::call& request);
-  void Watch(int node, platform::watch_id id, std::string kind);
+  void Submit(int node, const store::call& request);
+  void Watch(int node, store::watch_id id, std::string kind);
 
   /// Replaces one node's client, as a restarted process would.
   void Restart(int node);
@@ -36,22 +36,22 @@
   void AdvanceTo(base::time_point when) { now_ = std::max(now_, when); }
 
   base::time_point now() const { return now_; }
-  platform::client& node(int index) { return clients_[index]; }
+  store::client& node(int index) { return clients_[index]; }
   int size() const { return static_cast<int>(clients_.size()); }
 
   platform_stand_in platform;
-  std::function<void(int, const platform::reply&)> on_reply;
-  std::function<void(int, const platform::watch_event&)> on_event;
+  std::function<void(int, const store::reply&)> on_reply;
+  std::function<void(int, const store::watch_event&)> on_event;
 
  private:
-  void Carry(int node, platform::client_effects effects);
+  void Carry(int node, store::client_effects effects);
   bool DeliverDue();
 
-  platform::client_options options_;
+  store::client_options options_;
   std::uint64_t seed_;
   std::uint64_t restarts_ = 0;
   base::time_point now_{};
-  std::vector<platform::client> clients_;
+  std::vector<store::client> clients_;
 };
 
 }  // namespace flamingoshunt::stand_ins
--- a/stand_ins/endpoint_main.cc
+++ b/stand_ins/endpoint_main.cc
@@ -10,10 +10,10 @@
 
 #include "base/errors.h"
 #include "endpoint/instance_json.h"
-#include "platform/http_codec.h"
 #include "runtime/fiber_scheduler.h"
 #include "runtime/http_client.h"
 #include "stand_ins/endpoint_host.h"
+#include "store/http_codec.h"
 
 namespace flamingoshunt::stand_ins {
 namespace {
@@ -67,11 +67,11 @@
 void List(runtime::connection_pool& pool,
           const std::string& platform,
           const endpoint::instance& listed) {
-  platform::call call;
-  call.op = platform::operation::kCreate;
+  store::call call;
+  call.op = store::operation::kCreate;
   call.key = {"instance", listed.id.str()};
   call.value = endpoint::EncodeInstance(listed);
-  const auto encoded = platform::EncodeCall(call);
+  const auto encoded = store::EncodeCall(call);
   auto request = runtime::MakeRequest(encoded.method, encoded.target, platform,
                                       encoded.body, "application/json");
   for (const auto& header : encoded.headers)
--- a/stand_ins/platform_host.cc
+++ b/stand_ins/platform_host.cc
@@ -1,7 +1,7 @@
 #include "stand_ins/platform_host.h"
 
 #include "base/checked_json.h"
-#include "platform/http_codec.h"
+#include "store/http_codec.h"
 
 namespace flamingoshunt::stand_ins {
 namespace {
@@ -9,8 +9,8 @@
 constexpr std::string_view kFaultsTarget = "/faults";
 constexpr auto kMaxLatency = std::chrono::milliseconds(60'000);
 
-platform::http_request Plain(const runtime::http_request& request) {
-  platform::http_request plain;
+store::http_request Plain(const runtime::http_request& request) {
+  store::http_request plain;
   plain.method = std::string(request.method_string());
   plain.target = std::string(request.target());
   plain.body = request.body();
@@ -51,7 +51,7 @@
   try {
     if (exchange.request().target() == kFaultsTarget)
       HandleFaults(exchange);
-    else if (platform::IsWatch(Plain(exchange.request())))
+    else if (store::IsWatch(Plain(exchange.request())))
       HandleWatch(exchange);
     else
       HandleCall(exchange);
@@ -64,11 +64,11 @@
 void platform_host::CallerGone(int client) {
   const auto found = waiting_.find(client);
   if (found != waiting_.end())
-    found->second.Push({client, platform::watch_ended{}});
+    found->second.Push({client, store::watch_ended{}});
 }
 
 void platform_host::HandleCall(runtime::http_exchange& exchange) {
-  const platform::call call = platform::DecodeCall(Plain(exchange.request()));
+  const store::call call = store::DecodeCall(Plain(exchange.request()));
   const int client = next_client_++;
   mailbox& answers = waiting_[client];
   exchange.WatchCaller([this, client] { CallerGone(client); });
@@ -76,12 +76,12 @@
   timer_.Arm(platform_.NextTimer());
   const platform_delivery delivery = answers.Pop();
   waiting_.erase(client);
-  const auto* reply = std::get_if<platform::reply>(&delivery.message);
-  if (!reply || reply->outcome == platform::call_outcome::kUnknown) {
+  const auto* reply = std::get_if<store::reply>(&delivery.message);
+  if (!reply || reply->outcome == store::call_outcome::kUnknown) {
     exchange.Abort();  // A lost answer.
     return;
   }
-  const auto response = platform::EncodeReply(call, *reply);
+  const auto response = store::EncodeReply(call, *reply);
   runtime::http_fields fields;
   for (const auto& header : response.headers)
     fields.emplace_back(header.name, header.value);
@@ -90,10 +90,9 @@
 }
 
 void platform_host::HandleWatch(runtime::http_exchange& exchange) {
-  platform::watch_request request =
-      platform::DecodeWatch(Plain(exchange.request()));
+  store::watch_request request = store::DecodeWatch(Plain(exchange.request()));
   const int client = next_client_++;
-  request.id = platform::watch_id(static_cast<std::uint64_t>(client));
+  request.id = store::watch_id(static_cast<std::uint64_t>(client));
   mailbox& events = waiting_[client];
   exchange.StartStream(200, "application/x-ndjson");
   exchange.WatchCaller([this, client] { CallerGone(client); });
@@ -101,8 +100,8 @@
   timer_.Arm(platform_.NextTimer());
   while (true) {
     const platform_delivery delivery = events.Pop();
-    const auto* event = std::get_if<platform::watch_event>(&delivery.message);
-    if (!event || !exchange.Write(platform::EncodeWatchEvent(*event) + "\n"))
+    const auto* event = std::get_if<store::watch_event>(&delivery.message);
+    if (!event || !exchange.Write(store::EncodeWatchEvent(*event) + "\n"))
       break;
   }
   platform_.Disconnect(client);
--- a/stand_ins/platform_stand_in.cc
+++ b/stand_ins/platform_stand_in.cc
@@ -5,15 +5,15 @@
 namespace flamingoshunt::stand_ins {
 namespace {
 
-using platform::call_outcome;
-using platform::operation;
+using store::call_outcome;
+using store::operation;
 
-bool IsWrite(const platform::call& request) {
+bool IsWrite(const store::call& request) {
   return request.op != operation::kGet && request.op != operation::kList;
 }
 
-platform::reply Failed(const platform::call& request, call_outcome outcome) {
-  platform::reply reply;
+store::reply Failed(const store::call& request, call_outcome outcome) {
+  store::reply reply;
   reply.id = request.id;
   reply.outcome = outcome;
   return reply;
@@ -39,7 +39,7 @@
 }
 
 void platform_stand_in::AnswerUnknown(int client,
-                                      const platform::call& request,
+                                      const store::call& request,
                                       base::time_point now) {
   const auto outcome =
       IsWrite(request) ? call_outcome::kUnknown : call_outcome::kUnavailable;
@@ -47,7 +47,7 @@
 }
 
 void platform_stand_in::Send(int client,
-                             const platform::call& request,
+                             const store::call& request,
                              base::time_point now) {
   ++calls_received_;
   if (!Reaches(client))
@@ -60,7 +60,7 @@
     delayed_writes_.emplace(now + faults.write_delay, request);
     return AnswerUnknown(client, request, now);
   }
-  const platform::reply reply = store.Apply(request);
+  const store::reply reply = store.Apply(request);
   ServeWatches(now);
   const bool lost = IsWrite(request) && TakeOne(faults.lose_answers);
   if (lost || faults.latency >= request.timeout)
@@ -69,19 +69,19 @@
 }
 
 void platform_stand_in::StartWatch(int client,
-                                   const platform::watch_request& request,
+                                   const store::watch_request& request,
                                    base::time_point now) {
   ++calls_received_;
   if (faults.refuse || !Reaches(client)) {
     return Deliver(now + faults.latency,
-                   {client, platform::watch_ended{request.id}});
+                   {client, store::watch_ended{request.id}});
   }
   const watch_key key{client, request.id};
   watches_[key] = {request, now, now};
   ServeWatches(now);
 }
 
-void platform_stand_in::StopWatch(int client, platform::watch_id id) {
+void platform_stand_in::StopWatch(int client, store::watch_id id) {
   watches_.erase({client, id});
 }
 
@@ -110,25 +110,24 @@
   const auto events = store.ChangesAfter(watch.position);
   const bool only_bookmark =
       events.size() == 1 &&
-      events.front().kind == platform::watch_event_kind::kBookmark;
+      events.front().kind == store::watch_event_kind::kBookmark;
   if (only_bookmark && now < watch.next_bookmark)
     return;
   const auto when = std::max(now + faults.watch_latency, watch.last_delivery);
   watch.last_delivery = when;
-  for (const platform::watch_event& event : events)
+  for (const store::watch_event& event : events)
     Deliver(when, {key.first, event});
   watch.position.after = store.revision();
   watch.next_bookmark = now + kBookmarkInterval;
-  if (events.front().kind != platform::watch_event_kind::kGap)
+  if (events.front().kind != store::watch_event_kind::kGap)
     return;
-  Deliver(when, {key.first, platform::watch_ended{key.second}});
+  Deliver(when, {key.first, store::watch_ended{key.second}});
   watches_.erase(watch_key(key));
 }
 
 void platform_stand_in::EndAllWatches(base::time_point now) {
   for (const auto& [key, watch] : watches_)
-    Deliver(now + faults.latency,
-            {key.first, platform::watch_ended{key.second}});
+    Deliver(now + faults.latency, {key.first, store::watch_ended{key.second}});
   watches_.clear();
 }
 
--- a/stand_ins/platform_stand_in.h
+++ b/stand_ins/platform_stand_in.h
@@ -33,8 +33,7 @@
 /// Something the platform delivers to one client.
 struct platform_delivery {
   int client = 0;
-  std::variant<platform::reply, platform::watch_event, platform::watch_ended>
-      message;
+  std::variant<store::reply, store::watch_event, store::watch_ended> message;
 };
 
 /// How often an idle watch gets a bookmark.
@@ -47,11 +46,11 @@
       std::size_t history_limit = platform_store::kDefaultHistory)
       : store(history_limit) {}
 
-  void Send(int client, const platform::call& request, base::time_point now);
+  void Send(int client, const store::call& request, base::time_point now);
   void StartWatch(int client,
-                  const platform::watch_request& request,
+                  const store::watch_request& request,
                   base::time_point now);
-  void StopWatch(int client, platform::watch_id id);
+  void StopWatch(int client, store::watch_id id);
 
   /// Drops every watch and pending answer of a client that went away.
   void Disconnect(int client);
@@ -70,9 +69,9 @@
   platform_store store;
 
  private:
-  using watch_key = std::pair<int, platform::watch_id>;
+  using watch_key = std::pair<int, store::watch_id>;
   struct open_watch {
-    platform::watch_request position;
+    store::watch_request position;
     base::time_point next_bookmark;
     base::time_point last_delivery{};  // One connection keeps its order.
   };
@@ -80,7 +79,7 @@
   bool Reaches(int client) const;
   void Deliver(base::time_point when, platform_delivery delivery);
   void AnswerUnknown(int client,
-                     const platform::call& request,
+                     const store::call& request,
                      base::time_point now);
   void ServeWatches(base::time_point now);
   void ServeWatch(const watch_key& key,
@@ -89,7 +88,7 @@
   void EndAllWatches(base::time_point now);
 
   std::multimap<base::time_point, platform_delivery> deliveries_;
-  std::multimap<base::time_point, platform::call> delayed_writes_;
+  std::multimap<base::time_point, store::call> delayed_writes_;
   std::map<watch_key, open_watch> watches_;
   std::uint64_t calls_received_ = 0;
 };
--- a/stand_ins/platform_store.cc
+++ b/stand_ins/platform_store.cc
@@ -4,12 +4,12 @@
 
 namespace flamingoshunt::stand_ins {
 
-using platform::call_outcome;
-using platform::operation;
-using platform::watch_event_kind;
+using store::call_outcome;
+using store::operation;
+using store::watch_event_kind;
 
-platform::reply platform_store::Apply(const platform::call& request) {
-  platform::reply reply;
+store::reply platform_store::Apply(const store::call& request) {
+  store::reply reply;
   reply.id = request.id;
   reply.outcome = call_outcome::kOk;
   reply.store_revision = revision_;
@@ -38,8 +38,8 @@
   return reply;
 }
 
-platform::reply platform_store::Write(const platform::call& request) {
-  platform::reply reply;
+store::reply platform_store::Write(const store::call& request) {
+  store::reply reply;
   reply.id = request.id;
   reply.store_revision = revision_;
   const auto found = objects_.find(request.key);
@@ -59,7 +59,7 @@
     return reply;
   }
   revision_ = base::revision(revision_.value() + 1);
-  platform::object written{request.key, revision_, request.value};
+  store::object written{request.key, revision_, request.value};
   objects_[request.key] = written;
   Record(watch_event_kind::kPut, written);
   reply.outcome = call_outcome::kOk;
@@ -68,8 +68,8 @@
   return reply;
 }
 
-platform::reply platform_store::Delete(const platform::call& request) {
-  platform::reply reply;
+store::reply platform_store::Delete(const store::call& request) {
+  store::reply reply;
   reply.id = request.id;
   reply.store_revision = revision_;
   const auto found = objects_.find(request.key);
@@ -90,7 +90,7 @@
   return reply;
 }
 
-void platform_store::Record(watch_event_kind kind, platform::object changed) {
+void platform_store::Record(watch_event_kind kind, store::object changed) {
   history_.push_back({kind, std::move(changed)});
   while (history_.size() > history_limit_) {
     history_start_ = history_.front().changed.version;
@@ -98,9 +98,9 @@
   }
 }
 
-std::vector<platform::watch_event> platform_store::ChangesAfter(
-    const platform::watch_request& request) const {
-  platform::watch_event event;
+std::vector<store::watch_event> platform_store::ChangesAfter(
+    const store::watch_request& request) const {
+  store::watch_event event;
   event.id = request.id;
   event.changed.key.kind = request.kind;
   event.changed.version = revision_;
@@ -108,7 +108,7 @@
     event.kind = watch_event_kind::kGap;
     return {event};
   }
-  std::vector<platform::watch_event> events;
+  std::vector<store::watch_event> events;
   for (const change& past : history_) {
     const bool wanted = past.changed.key.kind == request.kind &&
                         past.changed.version > request.after;
--- a/stand_ins/platform_store.h
+++ b/stand_ins/platform_store.h
@@ -9,7 +9,7 @@
 #include <map>
 #include <vector>
 
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace flamingoshunt::stand_ins {
 
@@ -24,14 +24,14 @@
       : history_limit_(history_limit) {}
 
   /// Applies a call at once. Never answers kUnavailable or kUnknown.
-  platform::reply Apply(const platform::call& request);
+  store::reply Apply(const store::call& request);
 
   /// @return the changes of the watched kind after the request's revision in
   ///         order, then one bookmark at the current revision; or one kGap
   ///         when the history does not reach back that far or the revision
   ///         lies in the future, as after a store came back behind.
-  std::vector<platform::watch_event> ChangesAfter(
-      const platform::watch_request& request) const;
+  std::vector<store::watch_event> ChangesAfter(
+      const store::watch_request& request) const;
 
   base::revision revision() const { return revision_; }
   std::size_t size() const { return objects_.size(); }
@@ -41,16 +41,16 @@
 
  private:
   struct change {
-    platform::watch_event_kind kind;
-    platform::object changed;
+    store::watch_event_kind kind;
+    store::object changed;
   };
 
-  platform::reply Write(const platform::call& request);
-  platform::reply Delete(const platform::call& request);
-  void Record(platform::watch_event_kind kind, platform::object changed);
+  store::reply Write(const store::call& request);
+  store::reply Delete(const store::call& request);
+  void Record(store::watch_event_kind kind, store::object changed);
 
   std::size_t history_limit_;
-  std::map<platform::object_key, platform::object> objects_;
+  std::map<store::object_key, store::object> objects_;
   std::deque<change> history_;
   base::revision revision_{1};
   base::revision history_start_{0};  // Changes up to this one are forgotten.
--- a/tests/cluster/local_cluster.cc
+++ b/tests/cluster/local_cluster.cc
@@ -11,9 +11,9 @@
 #include "base/hash.h"
 #include "catalogue/stored_item.h"
 #include "endpoint/instance_json.h"
-#include "platform/http_codec.h"
 #include "runtime/fiber_scheduler.h"
 #include "runtime/http_client.h"
+#include "store/http_codec.h"
 
 namespace flamingoshunt::cluster {
 namespace {
@@ -25,13 +25,13 @@
 
 void Create(boost::asio::io_context& loop,
             const std::string& platform,
-            const platform::object_key& key,
+            const store::object_key& key,
             const std::string& value) {
-  platform::call call;
-  call.op = platform::operation::kCreate;
+  store::call call;
+  call.op = store::operation::kCreate;
   call.key = key;
   call.value = value;
-  const auto encoded = platform::EncodeCall(call);
+  const auto encoded = store::EncodeCall(call);
   auto request = runtime::MakeRequest(encoded.method, encoded.target, platform,
                                       encoded.body, "application/json");
   for (const auto& header : encoded.headers)
--- a/tests/fault_matrix/catalogue_path.cc
+++ b/tests/fault_matrix/catalogue_path.cc
@@ -106,7 +106,7 @@
   }
 
   void Race() {
-    platform::call read;
+    store::call read;
     read.key = {"entry", kEdited};
     const auto found = fleet_.clients.platform.store.Apply(read);
     const bool first = fleet_.Write(found, kEdited);
--- a/tests/fault_matrix/request_path.cc
+++ b/tests/fault_matrix/request_path.cc
@@ -75,7 +75,7 @@
  private:
   static int StepOf(const dl::effect& effect, bool ended) {
     if (const auto* call = std::get_if<dl::call_platform>(&effect)) {
-      if (call->call.op == platform::operation::kGet)
+      if (call->call.op == store::operation::kGet)
         return kClaimRead;
       return ended ? kClaimClosed : kClaimWritten;
     }
