Judge silences with the other nodes' opinion and tell placements at once

Placement used loads 250 ms old, longer than a prompt waits to be read, so prompts piled up on one head. Ruled out: late forming of groups (all twelve serve 2.7 s before traffic). Change: learned gaps, a question to the other nodes before a stall is believed, partial news at each placement, best of all instead of two drawn; loads before the first request start sixteen at once; a member is probed for 170 ms.

--- a/packages/daemon/entry_duty.cc
+++ b/packages/daemon/entry_duty.cc
@@ -76,7 +76,8 @@
     gateway::entry_news news = entry_.TakeNews();
     const bool changed = !(news.loads == told) ||
                          news.seen_requests != told_requests ||
-                         !news.suspects.empty() || !news.crashes.empty();
+                         !news.suspects.empty() || !news.crashes.empty() ||
+                         news.urgent;
     if (!changed)
       continue;
     told = news.loads;
--- a/packages/daemon/flamingoshuntd_main.cc
+++ b/packages/daemon/flamingoshuntd_main.cc
@@ -32,7 +32,7 @@
 constexpr int kExitUsage = 2;    // Bad command line or settings.
 // Collects a busy moment of the replica list in one call; well inside the time
 // in which a leaving replica must get no more work.
-constexpr auto kReplicaWatchPause = std::chrono::milliseconds(300);
+constexpr auto kReplicaWatchPause = std::chrono::milliseconds(600);
 // Several lines a request at a node's usual load, with room for a crest.
 constexpr double kLogLinesPerSecond = 400;
 
--- a/packages/daemon/fleet_duty.cc
+++ b/packages/daemon/fleet_duty.cc
@@ -23,7 +23,7 @@
 // Nodes tell their news this often for each node of the fleet, so that a node's
 // part in it stays the same at any size.
 constexpr milliseconds kNewsPerNode{10};
-constexpr milliseconds kShortestNews{150};
+constexpr milliseconds kShortestNews{250};
 constexpr milliseconds kLongestNews{1000};
 // A peer counts as silent after so many of its periods, but not before the
 // table's own bound.
@@ -37,7 +37,7 @@
 constexpr milliseconds kIdleStep{200};
 // A living replica answers within a few network delays; the bound leaves room
 // for one lost packet.
-constexpr milliseconds kReportBound{400};
+constexpr milliseconds kReportBound{170};
 constexpr milliseconds kOrderBound{1000};
 constexpr std::size_t kMaxCrashes = 64;  // sightings told to peers
 
@@ -392,6 +392,15 @@
   if (news.node == self_ || !peers_.Take(news, now))
     return;
   gateway::fleet_update update;
+  for (const fleet::silence_question& each : news.questions)
+    update.questions.push_back(
+        {news.node, each.replica, milliseconds(each.within_ms)});
+  update.heard_of = news.heard_of;
+  update.loads = peers_.TakeChangedLoads(now, Silence());
+  if (news.partial) {
+    updates_->Send(std::move(update));
+    return;
+  }
   for (const base::instance_id& each : news.suspects) {
     auto& known = heard_suspects_[each];
     if (known != base::time_point() && now - known < 2 * kSuspicionRepeat)
@@ -402,9 +411,7 @@
       of->planner.Suspected(each, now);
   }
   update.crashes = news.crashes;
-  if (!update.suspects.empty() || !update.crashes.empty())
-    updates_->Send(std::move(update));
-  loads_due_ = true;
+  updates_->Send(std::move(update));
   for (const auto& [service, statement] : news.statements) {
     if (told_[service] == statement)
       continue;
@@ -439,6 +446,7 @@
   news.seen_requests = seen_requests_ || peers_.AnySeenRequests();
   news.stopping = stopping_;
   news.loads = own_loads_;
+  told_loads_ = own_loads_;
   std::erase_if(suspects_, [&](const auto& each) {
     return now - each.second > kSuspicionRepeat;
   });
@@ -454,16 +462,64 @@
 
 void fleet_duty::TellPeers() {
   next_news_ = clock_.Now() + NewsPeriod();
+  SendToPeers(OwnNews());
+}
+
+// Tells at once what helps the peers to place their next request.
+void fleet_duty::TellChanges(const gateway::entry_news& news) {
+  fleet::peer_news part;
+  part.partial = true;
+  part.node = self_;
+  part.incarnation = incarnation_;
+  for (const auto& [instance, load] : news.loads) {
+    const auto told = told_loads_.find(instance);
+    if (told == told_loads_.end() || !(told->second == load))
+      part.loads[instance] = load;
+  }
+  for (const auto& [instance, load] : told_loads_) {
+    if (!news.loads.contains(instance))
+      part.loads[instance] = {};
+  }
+  told_loads_ = news.loads;
+  for (const gateway::silence_ask& each : news.questions)
+    part.questions.push_back(
+        {each.replica,
+         std::chrono::duration_cast<milliseconds>(each.within).count()});
+  part.sequence = ++sequence_;
+  SendToPeers(part);
+}
+
+// Answers the nodes that asked whether a replica goes on.
+void fleet_duty::AnswerPeers(const gateway::entry_news& news) {
+  for (const gateway::silence_refuted& each : news.answers) {
+    const auto address = addresses_.find(each.asker);
+    if (address == addresses_.end())
+      continue;
+    fleet::peer_news part;
+    part.partial = true;
+    part.node = self_;
+    part.incarnation = incarnation_;
+    part.heard_of = {each.replica};
+    part.sequence = ++sequence_;
+    SendTo(fleet::EncodeNews(part), address->second);
+  }
+}
+
+void fleet_duty::SendToPeers(const fleet::peer_news& news) {
   if (addresses_.empty())
     return;
-  const std::string text = fleet::EncodeNews(OwnNews());
-  for (const auto& [node, address] : addresses_) {
-    boost::system::error_code error;
-    socket_.send_to(boost::asio::buffer(text), address, 0, error);
-    // A full buffer or an unreachable peer; the next datagram says it again.
-    if (error)
-      peer_sends_failed_.Add();
-  }
+  const std::string text = fleet::EncodeNews(news);
+  for (const auto& [node, address] : addresses_)
+    SendTo(text, address);
+}
+
+void fleet_duty::SendTo(const std::string& text,
+                        const udp::endpoint& address) {
+  boost::system::error_code error;
+  socket_.send_to(boost::asio::buffer(text), address, 0, error);
+  // A full buffer or an unreachable peer; the next datagram says it again.
+  if (error)
+    peer_sends_failed_.Add();
 }
 
 // --- Groups.
@@ -496,7 +552,7 @@
   }
   if (now >= next_news_)
     TellPeers();
-  if (view_due_ || loads_due_)
+  if (view_due_)
     Publish();
   base::time_point next = std::min(now + kIdleStep, next_news_);
   if (const auto due = replicas_.NextTimer())
@@ -655,6 +711,9 @@
 
 void fleet_duty::TakeEntryNews(gateway::entry_news&& news) {
   const auto now = clock_.Now();
+  AnswerPeers(news);
+  if (news.urgent)
+    TellChanges(news);
   own_loads_ = std::move(news.loads);
   const bool first = news.seen_requests && !seen_requests_;
   seen_requests_ = seen_requests_ || news.seen_requests;
@@ -733,7 +792,6 @@
 }
 
 void fleet_duty::Publish() {
-  const auto now = clock_.Now();
   gateway::fleet_update update;
   if (view_due_) {
     auto view = std::make_shared<gateway::fleet_view>();
@@ -745,10 +803,7 @@
     }
     update.view = std::move(view);
   }
-  if (loads_due_)
-    update.loads = peers_.Loads(now, Silence());
   view_due_ = false;
-  loads_due_ = false;
   updates_->Send(std::move(update));
 }
 
--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -85,6 +85,11 @@
   void TakeNews(const fleet::peer_news& news);
   void TellPeers();
   fleet::peer_news OwnNews();
+  void TellChanges(const gateway::entry_news& news);
+  void AnswerPeers(const gateway::entry_news& news);
+  void SendToPeers(const fleet::peer_news& news);
+  void SendTo(const std::string& text,
+              const boost::asio::ip::udp::endpoint& address);
   base::duration NewsPeriod() const;
   base::duration Silence() const;
 
@@ -137,6 +142,7 @@
   std::vector<char> datagram_;
   std::uint64_t sequence_ = 0;
   gateway::load_map own_loads_;
+  gateway::load_map told_loads_;  ///< What the peers were told last.
   bool seen_requests_ = false;
   bool stopping_ = false;
   std::map<base::instance_id, base::time_point> suspects_;  ///< Own, since.
@@ -150,7 +156,6 @@
   base::time_point last_failure_{};
 
   bool view_due_ = false;
-  bool loads_due_ = false;
   duty::timer timer_;
   runtime::connection_pool pool_;
   telemetry::counter& orders_sent_;
--- a/packages/fleet/peer_news.cc
+++ b/packages/fleet/peer_news.cc
@@ -61,17 +61,53 @@
   return out;
 }
 
+json::array EncodeIds(const std::vector<base::instance_id>& ids) {
+  json::array out;
+  for (const base::instance_id& each : ids)
+    out.emplace_back(each.str());
+  return out;
+}
+
+std::vector<base::instance_id> DecodeIds(const json::array& ids) {
+  std::vector<base::instance_id> out;
+  for (const json::value& each : ids)
+    out.emplace_back(Text(each));
+  return out;
+}
+
+json::object EncodePart(const peer_news& news) {
+  json::object out{{"node", news.node.str()},
+                   {"incarnation", news.incarnation},
+                   {"sequence", news.sequence},
+                   {"partial", news.partial},
+                   {"loads", EncodeLoads(news.loads)}};
+  json::array questions;
+  for (const silence_question& each : news.questions)
+    questions.push_back({json::string(each.replica.str()), each.within_ms});
+  out["questions"] = std::move(questions);
+  out["heard_of"] = EncodeIds(news.heard_of);
+  return out;
+}
+
 peer_news DecodeObject(const json::object& from) {
   peer_news news;
+  news.partial = from.at("partial").as_bool();
   news.node = base::node_id(Text(from.at("node")));
   news.incarnation = Whole(from.at("incarnation"));
   news.sequence = Whole(from.at("sequence"));
+  news.loads = DecodeLoads(from.at("loads").as_array());
+  for (const json::value& each : from.at("questions").as_array()) {
+    const json::array& fields = each.as_array();
+    news.questions.push_back({base::instance_id(Text(fields.at(0))),
+                              fields.at(1).to_number<std::int64_t>()});
+  }
+  news.heard_of = DecodeIds(from.at("heard_of").as_array());
+  if (news.partial)
+    return news;
   news.configuration = Whole(from.at("configuration"));
   news.seen_requests = from.at("seen_requests").as_bool();
   news.stopping = from.at("stopping").as_bool();
-  news.loads = DecodeLoads(from.at("loads").as_array());
-  for (const json::value& each : from.at("suspects").as_array())
-    news.suspects.emplace_back(Text(each));
+  news.suspects = DecodeIds(from.at("suspects").as_array());
   for (const json::value& each : from.at("crashes").as_array()) {
     const json::array& fields = each.as_array();
     news.crashes.push_back({base::fingerprint(Whole(fields.at(0))),
@@ -90,9 +126,9 @@
 }  // namespace
 
 std::string EncodeNews(const peer_news& news) {
-  json::array suspects;
-  for (const base::instance_id& each : news.suspects)
-    suspects.emplace_back(each.str());
+  json::object out = EncodePart(news);
+  if (news.partial)
+    return json::serialize(out);
   json::array crashes;
   for (const gateway::crash_sighting& each : news.crashes)
     crashes.push_back(
@@ -100,16 +136,12 @@
   json::object statements;
   for (const auto& [service, statement] : news.statements)
     statements[service] = EncodeStatement(statement);
-  json::object out{{"node", news.node.str()},
-                   {"incarnation", news.incarnation},
-                   {"sequence", news.sequence},
-                   {"configuration", news.configuration},
-                   {"seen_requests", news.seen_requests},
-                   {"stopping", news.stopping},
-                   {"loads", EncodeLoads(news.loads)},
-                   {"suspects", std::move(suspects)},
-                   {"crashes", std::move(crashes)},
-                   {"statements", std::move(statements)}};
+  out["configuration"] = news.configuration;
+  out["seen_requests"] = news.seen_requests;
+  out["stopping"] = news.stopping;
+  out["suspects"] = EncodeIds(news.suspects);
+  out["crashes"] = std::move(crashes);
+  out["statements"] = std::move(statements);
   std::string text = json::serialize(out);
   for (const char* spare : {"statements", "crashes"}) {
     if (text.size() <= kMaxDatagram)
@@ -149,11 +181,41 @@
     if (Newer(statement, held))
       held = statement;
   }
-  known.news = std::move(news);
   known.heard = now;
+  Replace(known, std::move(news.loads), news.partial);
+  if (news.partial) {
+    known.news.node = std::move(news.node);
+    known.news.incarnation = news.incarnation;
+    known.news.sequence = news.sequence;
+    return true;
+  }
+  news.loads = std::move(known.news.loads);
+  known.news = std::move(news);
   return true;
 }
 
+void peer_table::Replace(peer& of, gateway::load_map loads, bool partial) {
+  gateway::load_map& held = of.news.loads;
+  if (!partial) {
+    // What a full statement leaves out is no longer placed.
+    for (const auto& [instance, load] : held)
+      loads.try_emplace(instance);
+  }
+  for (const auto& [instance, load] : loads) {
+    const auto before = held.find(instance);
+    if (before != held.end())
+      sums_[instance] -= before->second;
+    sums_[instance] += load;
+    changed_.insert(instance);
+    if (load.running > 0)
+      held[instance] = load;
+    else
+      held.erase(instance);
+    if (load.running <= 0)
+      sums_[instance] -= load;
+  }
+}
+
 bool peer_table::IsLive(const base::node_id& node,
                         base::time_point now,
                         base::duration silence) const {
@@ -172,17 +234,19 @@
   return live;
 }
 
-gateway::load_map peer_table::Loads(base::time_point now,
-                                    base::duration silence) const {
-  gateway::load_map sum;
-  for (const auto& [node, peer] : peers_) {
-    // A node that stops still has requests running.
-    if (now - peer.heard >= silence)
-      continue;
-    for (const auto& [instance, load] : peer.news.loads)
-      sum[instance] += load;
+gateway::load_map peer_table::TakeChangedLoads(base::time_point now,
+                                               base::duration silence) {
+  for (auto& [node, peer] : peers_) {
+    if (now - peer.heard >= silence && !peer.news.loads.empty())
+      Replace(peer, {}, false);
+  }
+  gateway::load_map out;
+  for (const base::instance_id& each : std::exchange(changed_, {})) {
+    out[each] = sums_[each];
+    if (sums_[each].running <= 0)
+      sums_.erase(each);
   }
-  return sum;
+  return out;
 }
 
 std::optional<group_statement> peer_table::Statement(
--- a/packages/fleet/peer_news.h
+++ b/packages/fleet/peer_news.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,7 +37,17 @@
   bool operator==(const group_statement&) const = default;
 };
 
+/// A node that hears nothing of a replica asks whether others do.
+struct silence_question {
+  base::instance_id replica;
+  std::int64_t within_ms = 0;  ///< Heard of within this refutes a stall.
+  bool operator==(const silence_question&) const = default;
+};
+
 struct peer_news {
+  /// Only the loads that changed, the questions and the answers are told; all
+  /// else is as it was.
+  bool partial = false;
   base::node_id node;
   std::uint64_t incarnation = 0;  ///< Rises from start to start of a node.
   std::uint64_t sequence = 0;     ///< Rises with every datagram.
@@ -44,6 +55,8 @@
   bool seen_requests = false;  ///< Callers have reached this node or a peer.
   bool stopping = false;
   gateway::load_map loads;
+  std::vector<silence_question> questions;
+  std::vector<base::instance_id> heard_of;  ///< Answers: these go on.
   std::vector<base::instance_id> suspects;  ///< Stand still, as seen here.
   std::vector<gateway::crash_sighting> crashes;
   std::map<std::string, group_statement> statements;  ///< By service.
@@ -74,8 +87,11 @@
               base::time_point now,
               base::duration silence) const;
 
-  /// @return the sum of what live peers have placed.
-  gateway::load_map Loads(base::time_point now, base::duration silence) const;
+  /// @return the sums of what the peers have placed, for those replicas whose
+  ///         sum changed since the last call. A peer that fell silent counts
+  ///         for nothing.
+  gateway::load_map TakeChangedLoads(base::time_point now,
+                                     base::duration silence);
 
   /// @return the newest statement about @p service, by term and edition.
   std::optional<group_statement> Statement(const std::string& service) const;
@@ -89,8 +105,13 @@
     peer_news news;
     base::time_point heard{};
   };
+
+  void Replace(peer& of, gateway::load_map loads, bool partial);
+
   std::map<base::node_id, peer> peers_;
   std::map<std::string, group_statement> statements_;
+  gateway::load_map sums_;
+  std::set<base::instance_id> changed_;
 };
 
 }  // namespace flamingoshunt::fleet
--- a/packages/gateway/dispatcher.cc
+++ b/packages/gateway/dispatcher.cc
@@ -21,9 +21,6 @@
 constexpr double kNewest = 0.1;
 // Waiting requests of one pool for each slot of the pool.
 constexpr std::size_t kLinePerSlot = 4;
-// Replicas drawn and compared for one request. Every node decides on loads that
-// are a little old; comparing all would send all nodes to the same one.
-constexpr std::size_t kDraws = 2;
 // The line is looked at again at least so often while somebody waits.
 constexpr milliseconds kLineCheck{50};
 
@@ -127,10 +124,11 @@
     return std::nullopt;
   std::optional<grant> best;
   double best_cost = 0;
-  for (std::size_t draw = 0; draw < kDraws && !fit.empty(); ++draw) {
-    const std::size_t index = base::RandomIndex(random_, fit.size());
-    const target& place = *fit[index];
-    fit.erase(fit.begin() + static_cast<std::ptrdiff_t>(index));
+  // Equal costs are common in a calm; the start is drawn so that the nodes
+  // don't all take the first.
+  const std::size_t start = base::RandomIndex(random_, fit.size());
+  for (std::size_t i = 0; i < fit.size(); ++i) {
+    const target& place = *fit[(start + i) % fit.size()];
     grant candidate{request.ticket, place, {}, LoadOf(place.instance)};
     double cost = static_cast<double>(candidate.load.running) / place.slots;
     if (pace) {
@@ -255,8 +253,14 @@
   return Pump(now);
 }
 
-decisions dispatcher::SetPeerLoads(load_map loads, base::time_point now) {
-  peers_ = std::move(loads);
+decisions dispatcher::UpdatePeerLoads(const load_map& loads,
+                                      base::time_point now) {
+  for (const auto& [instance, load] : loads) {
+    if (load.running > 0)
+      peers_[instance] = load;
+    else
+      peers_.erase(instance);
+  }
   return Pump(now);
 }
 
--- a/packages/gateway/dispatcher.h
+++ b/packages/gateway/dispatcher.h
@@ -85,8 +85,9 @@
 
   decisions SetView(fleet_view_ptr view, base::time_point now);
 
-  /// @param loads what the other nodes have placed; replaces what was known.
-  decisions SetPeerLoads(load_map loads, base::time_point now);
+  /// @param loads what the other nodes have placed on these replicas; what they
+  ///        have placed on others is as it was.
+  decisions UpdatePeerLoads(const load_map& loads, base::time_point now);
 
   /// Places nothing more on @p replica until @p until.
   void Suspect(const base::instance_id& replica, base::time_point until);
--- a/packages/gateway/entry.cc
+++ b/packages/gateway/entry.cc
@@ -13,6 +13,10 @@
 // A replica that stood still gets no new work for so long, unless it is heard
 // of before: the time in which the acting node finds out what happened.
 constexpr milliseconds kSuspicion{1000};
+// How often the streams are looked at for silences.
+constexpr milliseconds kSilenceCheck{20};
+// A replica heard of within this goes on, however short the asker's silence.
+constexpr milliseconds kShortestWithin{50};
 
 }  // namespace
 
@@ -32,6 +36,7 @@
       pool_(loop),
       timer_(loop, [this] {
         Apply(dispatcher_.Tick(Now()));
+        CheckSilence();
         ArmTimer();
       }) {}
 
@@ -41,6 +46,7 @@
   seen_requests_ = true;
   session serving(*this, exchange);
   sessions_.insert(&serving);
+  ArmTimer();
   metrics_.requests.Add();
   metrics_.running.Set(static_cast<std::int64_t>(sessions_.size()));
   serving.Run();
@@ -65,14 +71,29 @@
     budget_.SetNodes(view_->live_nodes);
     Apply(dispatcher_.SetView(view_, now));
   }
-  if (update.loads)
-    Apply(dispatcher_.SetPeerLoads(*update.loads, now));
+  if (!update.loads.empty())
+    Apply(dispatcher_.UpdatePeerLoads(update.loads, now));
+  for (const base::instance_id& each : update.heard_of)
+    stalls_.Refuted(each, now);
+  for (const silence_ask& each : update.questions) {
+    if (stalls_.HeardWithin(each.replica, each.within, now))
+      new_answers_.push_back({each.asker, each.replica});
+  }
+  if (!new_answers_.empty())
+    tell_(TakeNews());
   ArmTimer();
 }
 
 entry_news entry::TakeNews() {
-  return {dispatcher_.own_loads(), seen_requests_,
-          std::exchange(new_suspects_, {}), std::exchange(new_crashes_, {})};
+  entry_news news;
+  news.loads = dispatcher_.own_loads();
+  news.urgent = std::exchange(placed_since_, false) || !new_questions_.empty();
+  news.questions = std::exchange(new_questions_, {});
+  news.answers = std::exchange(new_answers_, {});
+  news.seen_requests = seen_requests_;
+  news.suspects = std::exchange(new_suspects_, {});
+  news.crashes = std::exchange(new_crashes_, {});
+  return news;
 }
 
 entry::place entry::WaitForPlace(ask request, runtime::fiber_signal& signal) {
@@ -86,6 +107,11 @@
   waiting_.erase(found);
   if (!result.granted && !result.refused)
     dispatcher_.Withdraw(ticket);
+  // The other nodes place better when they know of this at once.
+  if (result.granted && !result.granted->place.model.empty()) {
+    placed_since_ = true;
+    tell_(TakeNews());
+  }
   metrics_.waiting.Set(static_cast<std::int64_t>(dispatcher_.waiting()));
   return result;
 }
@@ -113,10 +139,28 @@
 }
 
 void entry::ArmTimer() {
-  timer_.Arm(dispatcher_.NextTimer(Now()));
+  auto next = dispatcher_.NextTimer(Now());
+  if (!sessions_.empty())
+    next = next ? std::min(*next, next_check_) : next_check_;
+  timer_.Arm(next);
   metrics_.waiting.Set(static_cast<std::int64_t>(dispatcher_.waiting()));
 }
 
+void entry::CheckSilence() {
+  const auto now = Now();
+  if (now < next_check_)
+    return;
+  next_check_ = now + kSilenceCheck;
+  for (session* each : sessions_)
+    each->CheckSilence();
+}
+
+void entry::AskPeers(const base::instance_id& replica, base::duration silence) {
+  new_questions_.push_back(
+      {{}, replica, std::max<base::duration>(silence / 2, kShortestWithin)});
+  tell_(TakeNews());
+}
+
 void entry::ReportStall(const base::instance_id& replica,
                         base::duration silence) {
   metrics_.stalls.Add();
@@ -130,6 +174,7 @@
 }
 
 void entry::HeardFrom(const base::instance_id& replica) {
+  stalls_.Heard(replica, Now());
   Apply(dispatcher_.Clear(replica, Now()));
 }
 
--- a/packages/gateway/entry.h
+++ b/packages/gateway/entry.h
@@ -26,18 +26,36 @@
 
 namespace flamingoshunt::gateway {
 
+/// A question whether a replica is heard of.
+struct silence_ask {
+  base::node_id asker;  ///< Empty in this node's own questions.
+  base::instance_id replica;
+  base::duration within{};
+};
+
+/// An answer: the replica goes on.
+struct silence_refuted {
+  base::node_id asker;
+  base::instance_id replica;
+};
+
 /// What the control thread tells.
 struct fleet_update {
   fleet_view_ptr view;               ///< Null when unchanged.
-  std::optional<load_map> loads;     ///< What the other nodes have placed.
+  load_map loads;  ///< What the others have placed, where it changed.
   std::vector<base::instance_id> suspects;  ///< Stand still, as others see.
   std::vector<crash_sighting> crashes;
+  std::vector<silence_ask> questions;           ///< Of other nodes.
+  std::vector<base::instance_id> heard_of;      ///< By other nodes.
   std::optional<retry_allowance> allowance;
 };
 
 /// What the request path tells the control thread.
 struct entry_news {
-  load_map loads;
+  load_map loads;  ///< All that this node has placed.
+  bool urgent = false;  ///< Peers decide better when they know it at once.
+  std::vector<silence_ask> questions;
+  std::vector<silence_refuted> answers;
   bool seen_requests = false;
   std::vector<base::instance_id> suspects;  ///< New since the last news.
   std::vector<crash_sighting> crashes;      ///< New since the last news.
@@ -88,6 +106,8 @@
   void ReportCrash(const crash_sighting& seen);
   void Apply(decisions made);
   void ArmTimer();
+  void CheckSilence();
+  void AskPeers(const base::instance_id& replica, base::duration silence);
   base::time_point Now() const { return clock_.Now(); }
 
   boost::asio::io_context& loop_;
@@ -108,7 +128,11 @@
   std::set<session*> sessions_;
   std::uint64_t next_ticket_ = 1;
   bool seen_requests_ = false;
+  bool placed_since_ = false;  ///< Since the last news.
+  base::time_point next_check_{};
   std::vector<base::instance_id> new_suspects_;
+  std::vector<silence_ask> new_questions_;
+  std::vector<silence_refuted> new_answers_;
   std::vector<crash_sighting> new_crashes_;
 };
 
--- a/packages/gateway/fleet_view.h
+++ b/packages/gateway/fleet_view.h
@@ -39,6 +39,12 @@
     unwritten += other.unwritten;
     return *this;
   }
+  placed_load& operator-=(const placed_load& other) {
+    running -= other.running;
+    unread -= other.unread;
+    unwritten -= other.unwritten;
+    return *this;
+  }
   bool operator==(const placed_load&) const = default;
 };
 
--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -23,10 +23,6 @@
 // Silence of an idempotent call, in parts of its aim, after which another
 // replica is asked.
 constexpr int kSilentAims = 2;
-// Told by peers that its replica stands still, a stream moves on when it was
-// silent itself for this many usual gaps.
-constexpr int kConfirmingGaps = 2;
-constexpr milliseconds kConfirmingSlack{20};
 // A caller whose request met replicas that don't take it comes back after this.
 constexpr milliseconds kReturnAfterNotRun{300};
 constexpr milliseconds kReturnWithoutConfiguration{1000};
@@ -225,7 +221,8 @@
   tried_.push_back(granted.place.instance);
   at_ = granted.place.instance;
   suspected_ = false;
-  expected_gap_ = granted.expected.event_gap;
+  begun_ = false;
+  expected_ = granted.expected;
   events_ = event_splitter(events_.last_id());
   last_heard_ = host_.Now();
   ending how = ending::kBroken;
@@ -249,8 +246,6 @@
     host_.pool_.Return(std::move(upstream_));
     upstream_.reset();
   }
-  if (how == ending::kStalled && route_->stream && !suspected_)
-    host_.ReportStall(granted.place.instance, host_.Now() - last_heard_);
   if (how != ending::kComplete)
     telemetry::LogChange("gateway", "attempt_ended",
                          {{"request", head_.id.str()},
@@ -310,29 +305,60 @@
   return TakeAnswer(granted);
 }
 
+std::string session::Pool() const {
+  return service_ + '/' + head_.model;
+}
+
 bool session::OthersCouldTakeOver() const {
   return route_->repeatable() && sent_ < AllowedReplicas() &&
          host_.dispatcher_.HasAlternative(service_, head_.model, tried_,
                                           host_.Now());
 }
 
-base::duration session::StallBound(const grant& granted, bool started) const {
+// How long the head of an answer may take. Streams are watched by their
+// silence instead.
+base::duration session::AnswerBound() const {
   const base::duration left = std::max<base::duration>(Left(), milliseconds(1));
-  if (!OthersCouldTakeOver())
+  if (route_->stream || !OthersCouldTakeOver())
     return left;
-  base::duration bound = kSilentAims * route_->first_answer_aim;
-  const base::instance_id& replica = granted.place.instance;
-  if (route_->stream && started)
-    bound = host_.stalls_.GapBound(replica, granted.expected.event_gap);
-  else if (route_->stream)
-    bound =
-        host_.stalls_.FirstEventBound(replica, granted.expected.first_event);
-  return std::min(left, bound);
+  return std::min<base::duration>(left, kSilentAims * route_->first_answer_aim);
+}
+
+base::duration session::SilenceBound() const {
+  return begun_
+             ? host_.stalls_.GapBound(*at_, expected_.event_gap)
+             : host_.stalls_.FirstEventBound(Pool(), expected_.first_event);
+}
+
+void session::CheckSilence() {
+  if (!at_ || !upstream_ || !route_->stream || suspected_)
+    return;
+  const base::duration silence = host_.Now() - last_heard_;
+  const base::duration bound = SilenceBound();
+  if (silence <= bound || !OthersCouldTakeOver())
+    return;
+  switch (host_.stalls_.Judge(*at_, bound, host_.Now())) {
+    case silence_verdict::kWait:
+      return;
+    case silence_verdict::kAsk:
+      host_.AskPeers(*at_, silence);
+      return;
+    case silence_verdict::kStalled:
+      host_.ReportStall(*at_, silence);
+      MoveOn();
+      return;
+  }
+}
+
+// Ends the current attempt as stalled.
+void session::MoveOn() {
+  suspected_ = true;
+  upstream_->Close();
 }
 
 session::ending session::TakeAnswer(const grant& granted) {
   for (int stray = 0; stray <= kMaxStrayAnswers; ++stray) {
-    const auto head = upstream_->ReadHead(StallBound(granted, false));
+    const auto head = upstream_->ReadHead(AnswerBound());
     const answer_head answer = host_.wire_.ReadAnswer(head);
     if (!answer.request_id.empty() && answer.request_id != head_.id.str()) {
       // Left over from an earlier request on this connection.
@@ -369,9 +395,9 @@
                                      const runtime::http_response_head& head) {
   const base::instance_id& replica = granted.place.instance;
   const bool resumed = started_;
-  bool begun = false;
   std::string bytes;
-  while (upstream_->ReadSome(bytes, StallBound(granted, begun))) {
+  while (upstream_->ReadSome(
+      bytes, std::max<base::duration>(Left(), milliseconds(1)))) {
     const std::string out = events_.Feed(bytes);
     bytes.clear();
     if (events_.gap()) {
@@ -381,17 +407,23 @@
     if (out.empty())
       continue;
     const auto now = host_.Now();
-    if (begun) {
+    if (begun_) {
       host_.stalls_.NoteGap(replica, now - last_heard_);
       host_.metrics_.event_gap.Observe(now - last_heard_);
+      longest_gap_ = std::max(longest_gap_, now - last_heard_);
     } else {
+      host_.stalls_.NoteFirstEvent(Pool(), granted.expected.first_event,
+                                   now - last_heard_);
+      if (resumed)
+        longest_gap_ = std::max(longest_gap_, now - last_event_);
       host_.dispatcher_.Started(granted.ticket);
       if (resumed)
         host_.metrics_.resumed.Add();
     }
     host_.HeardFrom(replica);
-    begun = true;
+    begun_ = true;
     last_heard_ = now;
+    last_event_ = now;
     if (!started_) {
       host_.metrics_.first_event.Observe(now - arrived_);
       first_event_ = now - arrived_;
@@ -555,20 +587,17 @@
                         {"route", route_->name},
                         {"replicas", sent_},
                         {"first_event_ms", Ms(first_event_)},
-                        {"events", events_.events()},
+                        {"longest_gap_ms", Ms(longest_gap_)},
+                        {"events", events_.last_id().value_or(0)},
                         {"took_ms", Ms(host_.Now() - arrived_)}});
 }
 
 void session::PeerSuspects(const base::instance_id& replica) {
-  if (!at_ || *at_ != replica || !upstream_ || !route_->stream)
+  if (!at_ || *at_ != replica || !upstream_ || !route_->stream || suspected_)
     return;
   const base::duration silent = host_.Now() - last_heard_;
-  const bool confirmed =
-      silent > kConfirmingGaps * expected_gap_ + kConfirmingSlack;
-  if (!confirmed || !OthersCouldTakeOver())
-    return;
-  suspected_ = true;
-  upstream_->Close();
+  if (silent > SilenceBound() && OthersCouldTakeOver())
+    MoveOn();
 }
 
 }  // namespace flamingoshunt::gateway
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -22,6 +22,9 @@
   /// Returns when the caller has its answer or is gone.
   void Run();
 
+  /// Looks whether the replica of a stream stands still.
+  void CheckSilence();
+
   /// Another node saw @p replica stand still.
   void PeerSuspects(const base::instance_id& replica);
 
@@ -62,9 +65,12 @@
   void SendKept();
   ask MakeAsk() const;
   base::duration Left() const;
-  base::duration StallBound(const grant& granted, bool started) const;
+  base::duration AnswerBound() const;
+  base::duration SilenceBound() const;
+  void MoveOn();
   bool OthersCouldTakeOver() const;
   int AllowedReplicas() const;
+  std::string Pool() const;
   void LogDone(std::string_view outcome, int status);
 
   entry& host_;
@@ -82,10 +88,13 @@
   bool caller_gone_ = false;
   std::unique_ptr<runtime::http_connection> upstream_;
   std::optional<base::instance_id> at_;  ///< Where the current attempt runs.
-  bool suspected_ = false;               ///< Told by a peer, of this attempt.
+  bool suspected_ = false;  ///< The replica of this attempt stands still.
+  bool begun_ = false;      ///< This attempt had an event.
+  work_estimate expected_;  ///< Of this attempt.
   base::time_point last_heard_;
-  base::duration expected_gap_{};
   base::duration first_event_{};
+  base::time_point last_event_;  ///< Of the whole stream.
+  base::duration longest_gap_{};
   int status_ = 200;  ///< Of the answer passed on.
   std::vector<base::instance_id> tried_;
   int sent_ = 0;            ///< Replicas that the request was sent to.
--- a/packages/gateway/stall_watch.h
+++ b/packages/gateway/stall_watch.h
@@ -10,17 +10,53 @@
 #define FLAMINGOSHUNT_GATEWAY_STALL_WATCH_H_
 
 #include <map>
+#include <optional>
+#include <string>
 
 #include "base/clock.h"
 #include "base/ids.h"
 
 namespace flamingoshunt::gateway {
 
+/// What a silence means.
+enum class silence_verdict {
+  kWait,    ///< The replica goes on, or may be about to.
+  kAsk,     ///< Ask the other nodes whether they hear of it.
+  kStalled  ///< Nobody does.
+};
+
 class stall_watch {
  public:
+  /// Time for the other nodes to say that they hear of a replica: two network
+  /// delays and the scheduling of three small processes.
+  static constexpr base::duration kOpinion = std::chrono::milliseconds(35);
+
+  /// An event of any stream of @p replica.
+  void Heard(const base::instance_id& replica, base::time_point now);
+
+  /// Judges a stream that has been silent for longer than its bound.
+  silence_verdict Judge(const base::instance_id& replica,
+                        base::duration bound,
+                        base::time_point now);
+
+  /// Another node hears of @p replica.
+  void Refuted(const base::instance_id& replica, base::time_point now);
+
+  /// @return whether this node heard of @p replica within @p within.
+  bool HeardWithin(const base::instance_id& replica,
+                   base::duration within,
+                   base::time_point now) const;
+
   /// Notes the time between two events of one stream.
   void NoteGap(const base::instance_id& replica, base::duration gap);
 
+  /// Notes the time to a stream's first event.
+  /// @param pool     what the replicas of one model share.
+  /// @param expected by the engine's published pace.
+  void NoteFirstEvent(const std::string& pool,
+                      base::duration expected,
+                      base::duration actual);
+
   /// @param expected gap by the engine's published pace.
   /// @return the silence after which the replica counts as standing still.
   base::duration GapBound(const base::instance_id& replica,
@@ -28,25 +64,40 @@
 
   /// @param expected time to the first event.
   /// @return the silence before the first event that counts as standing still.
-  base::duration FirstEventBound(const base::instance_id& replica,
+  base::duration FirstEventBound(const std::string& pool,
                                  base::duration expected) const;
 
+  /// @return what the first event usually takes beyond @p expected.
+  base::duration FirstEventDelay(const std::string& pool) const;
+
   /// Forgets what was learned of replicas that are gone.
   template <class StillThere>
   void Keep(StillThere still_there) {
-    std::erase_if(learned_, [&](const auto& each) {
+    const auto gone = [&](const auto& each) {
       return !still_there(each.first);
-    });
+    };
+    std::erase_if(gaps_, gone);
+    std::erase_if(replicas_, gone);
   }
 
  private:
-  struct gaps {
+  /// A mean that forgets, with the usual distance from it.
+  struct learned {
     double mean_ms = 0;
-    double deviation_ms = 0;  ///< Mean distance from the mean.
+    double deviation_ms = 0;
     int count = 0;
+    void Note(double ms);
+  };
+
+  struct opinion {
+    base::time_point heard{};
+    std::optional<base::time_point> asked;
+    std::optional<base::time_point> refuted;
   };
 
-  std::map<base::instance_id, gaps> learned_;
+  std::map<base::instance_id, opinion> replicas_;
+  std::map<base::instance_id, learned> gaps_;
+  std::map<std::string, learned> first_events_;  ///< Beyond the expected.
 };
 
 }  // namespace flamingoshunt::gateway
--- a/packages/groups/planner.cc
+++ b/packages/groups/planner.cc
@@ -38,6 +38,9 @@
 constexpr int kFailuresUntilLost = 2;
 // Before the first request loads take this part of their time.
 constexpr int kEarlyLoadDivisor = 10;
+// Before the first request so many times the loads that run at full speed are
+// started: they share the rate, but what has begun stays cheap.
+constexpr int kEarlyLoadsAtOnce = 2;
 // Preference for a model that a domain doesn't serve yet: keeps the sizes mixed
 // so that few replicas of a domain are left over.
 constexpr double kMixBonus = 0.3;
@@ -446,6 +449,13 @@
   return free;
 }
 
+std::size_t planner::InDomain(const base::fabric_domain_id& domain) const {
+  return static_cast<std::size_t>(std::count_if(
+      members_.begin(), members_.end(), [&](const auto& each) {
+        return each.second.facts.engine.fabric_domain == domain;
+      }));
+}
+
 std::set<base::fabric_domain_id> planner::Domains() const {
   std::set<base::fabric_domain_id> domains;
   for (const auto& [id, each] : members_) {
@@ -478,8 +488,10 @@
 bool planner::MayLoad(int count, base::time_point now) {
   if (count == 0)
     return true;
-  return LoadsUnderWay(now) < layout_->loads_at_once &&
-         loads_.Allows(count, now);
+  const int at_once = requests_began_
+                          ? layout_->loads_at_once
+                          : layout_->loads_at_once * kEarlyLoadsAtOnce;
+  return LoadsUnderWay(now) < at_once && loads_.Allows(count, now);
 }
 
 std::optional<planner::draft> planner::Draft(
@@ -557,13 +569,20 @@
   return true;
 }
 
-void planner::FormGroups(base::time_point now) {
+// @param settled whether all replicas are listed; before, only domains that
+//        have enough for one group of each model.
+void planner::FormGroups(bool settled, base::time_point now) {
+  std::size_t one_of_each = 0;
+  for (const auto& model : layout_->models)
+    one_of_each += static_cast<std::size_t>(model.size);
   bool formed = true;
   while (formed) {
     formed = false;
     std::vector<std::pair<std::size_t, base::fabric_domain_id>> order;
-    for (const auto& domain : Domains())
-      order.emplace_back(FreeIn(domain).size(), domain);
+    for (const auto& domain : Domains()) {
+      if (settled || InDomain(domain) >= one_of_each)
+        order.emplace_back(FreeIn(domain).size(), domain);
+    }
     std::sort(order.rbegin(), order.rend());
     for (const auto& [free, domain] : order)
       formed = FormOneIn(domain, now) || formed;
@@ -702,13 +721,13 @@
   });
   // At the first start replicas are listed one after the other; groups drawn up
   // from the first few would leave others without partners.
-  if (requests_began_ || now - last_added_ >= kListSettles) {
-    FormGroups(now);
-    for (auto& [name, of] : groups_) {
-      if (of.phase == group_phase::kForming)
-        StepForming(of, out, now);
-    }
+  const bool settled = requests_began_ || now - last_added_ >= kListSettles;
+  FormGroups(settled, now);
+  if (settled)
     StageSpares(out, now);
+  for (auto& [name, of] : groups_) {
+    if (of.phase == group_phase::kForming)
+      StepForming(of, out, now);
   }
   AskWhereDue(out, now);
   UpdateStatement();
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -146,7 +146,8 @@
               std::string reason = {});
   void Close(group& of, fleet::close_mode mode, std::string reason,
              base::time_point now);
-  void FormGroups(base::time_point now);
+  void FormGroups(bool settled, base::time_point now);
+  std::size_t InDomain(const base::fabric_domain_id& domain) const;
   bool FormOneIn(const base::fabric_domain_id& domain, base::time_point now);
   struct draft {
     std::string model;
