Let members leave a lost head before they join; number every order's fence

The fuzz of the planner found two more ways: a close without an answer counted as taken, and an order to open that was carried out 2 s late reached a head whose group was over. Change: unlisted replicas are asked at their last address and closed like others; a replica leaves its group before it joins another; fences rise with every order, so late ones meet a higher one. Entries that go missing are held only if the first news after a failure leave them out.

--- a/packages/daemon/fleet_duty.cc
+++ b/packages/daemon/fleet_duty.cc
@@ -174,6 +174,8 @@
 
 void fleet_duty::TakeEvent(const store::watch_event& event) {
   const std::string& kind = event.changed.key.kind;
+  if (kind == wire_.replica_kind())
+    replicas_.NotePlatformContact(clock_.Now());
   const bool deleted = event.kind == store::watch_event_kind::kDelete;
   if (event.kind == store::watch_event_kind::kBookmark) {
     if (kind == groups::kFleetKind && !fleet_listed_) {
@@ -222,8 +224,7 @@
       continue;
     auto& acting = services_[name];
     if (!acting) {
-      acting = std::make_unique<acting_service>(self_, incarnation_, name,
-                                                settings_.gateway->stall);
+      acting = std::make_unique<acting_service>(self_, incarnation_, name);
       if (stopping_)
         acting->term.Resign();
       if (const auto term = terms_.find(name); term != terms_.end())
@@ -280,7 +281,7 @@
 void fleet_duty::Forget(const base::instance_id& id,
                         const std::string& service) {
   if (const auto of = services_.find(service); of != services_.end())
-    of->second->planner.Gone(id, clock_.Now());
+    of->second->planner.Gone(id);
   view_due_ = true;
 }
 
@@ -529,12 +530,12 @@
   const auto failed = platform_duty_->last_failure();
   if (failed != last_failure_ && failed != base::time_point::min()) {
     last_failure_ = failed;
-    replicas_.NotePlatformFailure(failed);
+    replicas_.NotePlatformFailure();
   }
   for (const base::instance_id& id : replicas_.Expire(now)) {
     telemetry::LogChange("fleet", "replica_not_back", {{"instance", id.str()}});
     for (auto& [name, of] : services_)
-      of->planner.Gone(id, now);
+      of->planner.Gone(id);
     view_due_ = true;
   }
   Register();
@@ -621,13 +622,8 @@
 void fleet_duty::Carry(const std::string& name, const groups::plan& plan) {
   for (const fleet::order& order : plan.orders)
     runtime::SpawnFiber([this, name, order] { SendOrder(name, order); });
-  for (const base::instance_id& id : plan.questions)
-    runtime::SpawnFiber([this, name, id] { AskReport(name, id); });
-}
-
-std::string fleet_duty::AddressOf(const base::instance_id& id) const {
-  const auto found = replicas_.replicas().find(id);
-  return found == replicas_.replicas().end() ? "" : found->second.address;
+  for (const groups::question& each : plan.questions)
+    runtime::SpawnFiber([this, name, each] { AskReport(name, each); });
 }
 
 // One exchange on an idle connection or a fresh one, never repeated here.
@@ -671,7 +667,7 @@
                         {"fence", order.fence},
                         {"result", fleet::NameOf(result)}});
   acting_service& of = *services_.at(service);
-  if (of.begun_term != order.fence)
+  if (of.begun_term != order.term)
     return;
   of.planner.Settled(order, result, clock_.Now());
   if (result == fleet::order_result::kFenced)
@@ -680,18 +676,16 @@
 }
 
 void fleet_duty::AskReport(const std::string& service,
-                           const base::instance_id& id) {
-  const std::string address = AddressOf(id);
+                           const groups::question& question) {
+  const base::instance_id& id = question.to;
   acting_service& of = *services_.at(service);
   std::optional<fleet::engine_state> state;
-  bool refused = address.empty();
+  bool refused = false;
   reports_asked_.Add();
   try {
-    if (!refused) {
-      const auto reply =
-          ExchangeOnce(address, wire_.AskReport(address), kReportBound);
-      state = wire_.ReadReport(reply.body);
-    }
+    const auto reply = ExchangeOnce(
+        question.address, wire_.AskReport(question.address), kReportBound);
+    state = wire_.ReadReport(reply.body);
   } catch (const runtime::transport_error& error) {
     refused = error.failure() == runtime::transport_failure::kRefused;
   } catch (const base::user_error&) {
--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -55,9 +55,8 @@
   struct acting_service {
     acting_service(const base::node_id& self,
                    std::uint64_t incarnation,
-                   const std::string& name,
-                   base::duration stall)
-        : term(self, incarnation, name), planner(name, stall) {}
+                   const std::string& name)
+        : term(self, incarnation, name), planner(name) {}
     groups::term_keeper term;
     groups::planner planner;
     std::uint64_t begun_term = 0;  ///< Term that the planner works under.
@@ -97,12 +96,11 @@
   void Step();
   void StepService(const std::string& name, acting_service& of);
   void Carry(const std::string& name, const groups::plan& plan);
-  std::string AddressOf(const base::instance_id& id) const;
   runtime::http_reply ExchangeOnce(const std::string& address,
                                    runtime::http_request request,
                                    base::duration timeout);
   void SendOrder(const std::string& service, const fleet::order& order);
-  void AskReport(const std::string& service, const base::instance_id& id);
+  void AskReport(const std::string& service, const groups::question& question);
   void LogChanges(const std::string& name, acting_service& of);
 
   // The entry thread:
--- a/packages/fleet/order.cc
+++ b/packages/fleet/order.cc
@@ -12,7 +12,8 @@
 }
 
 const char* NameOf(const order_body& body) {
-  constexpr std::array<const char*, 4> kNames{"join", "open", "close", "stage"};
+  constexpr std::array<const char*, 5> kNames{"join", "open", "close", "leave",
+                                              "stage"};
   return kNames.at(body.index());
 }
 
--- a/packages/fleet/order.h
+++ b/packages/fleet/order.h
@@ -37,13 +37,19 @@
   close_mode mode = close_mode::kFinish;
 };
 
+/// Stop being a member, at once.
+struct leave_group {
+  std::string group;
+  base::epoch epoch;
+};
+
 /// Copy a model's weights to the host, beside whatever runs.
 struct stage_model {
   std::string model;
 };
 
 using order_body =
-    std::variant<join_group, open_group, close_group, stage_model>;
+    std::variant<join_group, open_group, close_group, leave_group, stage_model>;
 
 using order_id = base::number_id<struct order_tag>;
 
@@ -51,7 +57,10 @@
   order_id id;
   base::instance_id to;
   std::string address;
-  std::uint64_t fence = 0;  ///< Lower ones than seen before are refused.
+  std::uint64_t term = 0;   ///< Of the acting node.
+  /// Rises with the term and with every order, so that an order which is carried
+  /// out late meets a replica that has seen a higher one.
+  std::uint64_t fence = 0;
   order_body body;
 };
 
--- a/packages/fleet/replica_directory.cc
+++ b/packages/fleet/replica_directory.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace flamingoshunt::fleet {
+namespace {
+
+// A list after a failure and the watch that follows it are taken within this.
+constexpr base::duration kFirstNews = std::chrono::milliseconds(150);
+
+}  // namespace
 
 bool replica_directory::Put(const replica& entry) {
   lapsed_.erase(entry.id);
@@ -18,15 +24,26 @@
   return true;
 }
 
+void replica_directory::NotePlatformContact(base::time_point now) {
+  if (!failing_)
+    return;
+  failing_ = false;
+  back_at_ = now;
+  // What was kept before gets its time once more.
+  for (auto& [id, due] : lapsed_)
+    due = now + kReturn;
+}
+
 bool replica_directory::Delete(const base::instance_id& id,
                                base::time_point now) {
   const auto found = replicas_.find(id);
   if (found == replicas_.end())
     return false;
-  const bool platform_was_away =
-      last_failure_ && now - *last_failure_ < kReturn;
-  if (platform_was_away && !found->second.leaving) {
-    lapsed_.try_emplace(id, *last_failure_ + kReturn);
+  // Only what the first news after a failure leave out lapsed meanwhile.
+  const bool lapsed_meanwhile =
+      failing_ || (back_at_ && now - *back_at_ < kFirstNews);
+  if (lapsed_meanwhile && !found->second.leaving) {
+    lapsed_.try_emplace(id, back_at_.value_or(now) + kReturn);
     return false;
   }
   replicas_.erase(found);
@@ -36,11 +53,10 @@
 
 std::vector<base::instance_id> replica_directory::Expire(base::time_point now) {
   std::vector<base::instance_id> gone;
+  if (failing_)
+    return gone;
   for (auto it = lapsed_.begin(); it != lapsed_.end();) {
-    // A platform that failed again gives its replicas as long once more.
-    const base::time_point due = std::max(it->second, *last_failure_ + kReturn);
-    it->second = due;
-    if (due > now) {
+    if (it->second > now) {
       ++it;
       continue;
     }
--- a/packages/fleet/replica_directory.h
+++ b/packages/fleet/replica_directory.h
@@ -1,7 +1,6 @@
-// Defines which replicas exist, from the platform's list. An entry that lapses
-// while the platform is out of reach, or soon after, may only be missing
-// because its replica could not renew it: it is kept until the replica had time
-// to write it again.
+// Defines which replicas exist, from the platform's list. An entry that lapsed
+// while the platform was out of reach may only be missing because its replica
+// could not renew it: it is kept until the replica had time to write it again.
 #ifndef FLAMINGOSHUNT_FLEET_REPLICA_DIRECTORY_H_
 #define FLAMINGOSHUNT_FLEET_REPLICA_DIRECTORY_H_
 
@@ -32,8 +31,11 @@
   /// @return whether the replica is gone at once.
   bool Delete(const base::instance_id& id, base::time_point now);
 
-  /// A call or watch of the platform failed just now.
-  void NotePlatformFailure(base::time_point now) { last_failure_ = now; }
+  /// A call or watch of the platform failed.
+  void NotePlatformFailure() { failing_ = true; }
+
+  /// The list was heard of; goes before the changes that it brought.
+  void NotePlatformContact(base::time_point now);
 
   /// @return the replicas whose entries did not come back in time.
   std::vector<base::instance_id> Expire(base::time_point now);
@@ -51,7 +53,8 @@
  private:
   std::map<base::instance_id, replica> replicas_;
   std::map<base::instance_id, base::time_point> lapsed_;  ///< Gone by then.
-  std::optional<base::time_point> last_failure_;
+  bool failing_ = false;
+  std::optional<base::time_point> back_at_;  ///< After the last failure.
 };
 
 }  // namespace flamingoshunt::fleet
--- a/packages/groups/planner.cc
+++ b/packages/groups/planner.cc
@@ -11,6 +11,8 @@
 
 // Epochs of a term start here, so that those of a later term are higher.
 constexpr std::uint64_t kEpochsPerTerm = 1'000'000;
+// Fences of a term start here, likewise.
+constexpr std::uint64_t kFencesPerTerm = 1'000'000'000;
 // A listed state counts against a report only when the report is this old: the
 // list shows changes late.
 constexpr milliseconds kListLag{1500};
@@ -29,6 +31,9 @@
 constexpr milliseconds kAskSoon{80};
 constexpr milliseconds kAskLoading{300};
 constexpr milliseconds kAskLost{2000};
+constexpr milliseconds kAskLostHead{250};
+// How long a head without an answer is asked again before it is given up.
+constexpr milliseconds kLostHead{1000};
 // A question without any answer counts as failed after this.
 constexpr milliseconds kQuestionBound{2000};
 // A report younger than this answers a new suspicion as well.
@@ -64,8 +69,7 @@
   return "unknown";
 }
 
-planner::planner(std::string service, base::duration stall)
-    : service_(std::move(service)), stall_(stall) {}
+planner::planner(std::string service) : service_(std::move(service)) {}
 
 void planner::SetLayout(const gateway::engine_pace& layout) {
   layout_ = layout;
@@ -130,13 +134,13 @@
   of.failures = 0;
 }
 
-void planner::Gone(const base::instance_id& id, base::time_point now) {
+void planner::Gone(const base::instance_id& id) {
   member* of = Find(id);
   if (!of)
     return;
   of->gone = true;
-  if (!of->lost_at)
-    of->lost_at = now;
+  // It may only be cut off from the platform.
+  of->question_due = true;
 }
 
 void planner::Reported(const base::instance_id& id,
@@ -152,8 +156,8 @@
   if (state.started_ms > of->facts.engine.started_ms)
     ForgetOrders(*of);
   of->lost = false;
-  if (!of->gone)
-    of->lost_at.reset();
+  of->refused = false;
+  of->lost_at.reset();
   of->reported_at = now;
   const base::fabric_domain_id domain = of->facts.engine.fabric_domain;
   of->facts.engine = state;
@@ -282,8 +286,10 @@
 
 void planner::Send(member& to, fleet::order_body body, plan& out) {
   to.order_pending = true;
-  out.orders.push_back({fleet::order_id(next_order_++), to.facts.id,
-                        to.facts.address, term_, std::move(body)});
+  const std::uint64_t number = next_order_++;
+  out.orders.push_back({fleet::order_id(number), to.facts.id, to.facts.address,
+                        term_, term_ * kFencesPerTerm + number,
+                        std::move(body)});
 }
 
 void planner::Settled(const fleet::order& order,
@@ -304,7 +310,17 @@
     of->ordered_epoch = join->epoch;
     of->ordered_at = now;
   }
+  const auto* leave = std::get_if<fleet::leave_group>(&order.body);
+  if (leave && (accepted || result == fleet::order_result::kUnfit)) {
+    of->left = leave->epoch;
+    of->order_not_before = now;
+  }
+  const auto* close = std::get_if<fleet::close_group>(&order.body);
+  if (close && (accepted || result == fleet::order_result::kUnfit))
+    of->ordered_close = close->epoch;
   const auto* open = std::get_if<fleet::open_group>(&order.body);
+  if (open)
+    of->opened_at = now;
   if (open && result == fleet::order_result::kUnfit) {
     const auto found = groups_.find(open->group);
     if (found != groups_.end() && found->second.epoch == open->epoch &&
@@ -350,8 +366,14 @@
                              JoinTime(*each, of.model) + kOrderPatience;
     if (in || ordered || each->order_pending || now < each->order_not_before)
       continue;
-    Send(*each, fleet::join_group{of.name, of.epoch, of.model, of.members},
-         out);
+    // Nobody joins a group while still a member of another, whose head may not
+    // know yet that it is over.
+    const auto& other = each->facts.engine.member;
+    if (other && each->left != other->epoch)
+      Send(*each, fleet::leave_group{other->group, other->epoch}, out);
+    else
+      Send(*each, fleet::join_group{of.name, of.epoch, of.model, of.members},
+           out);
   }
   if (ready < of.members.size())
     return;
@@ -382,7 +404,7 @@
   std::size_t leaving = 0;
   for (const base::instance_id& id : of.members) {
     const member* each = Find(id);
-    if (!each || each->gone || each->lost) {
+    if (!each || each->lost) {
       Close(of, fleet::close_mode::kCut, "member_lost:" + id.str(), now);
       return;
     }
@@ -390,7 +412,8 @@
       Close(of, fleet::close_mode::kCut, "member_restarted:" + id.str(), now);
       return;
     }
-    leaving += each->facts.leaving ? 1 : 0;
+    // One that is no longer listed but answers is leaving, or cut off.
+    leaving += each->facts.leaving || each->gone ? 1 : 0;
   }
   const member& head = *Find(of.head());
   if (head.facts.engine.member->state == fleet::member_state::kBroken) {
@@ -401,7 +424,7 @@
     return;
   // Without replacements a group serves as long as its leaving member stays.
   const auto free = FreeIn(head.facts.engine.fabric_domain).size();
-  if (head.facts.leaving || free >= leaving)
+  if (head.facts.leaving || head.gone || free >= leaving)
     Close(of, fleet::close_mode::kFinish, "member_leaving", now);
 }
 
@@ -412,28 +435,26 @@
   member* head = Find(of.head());
   if (!head)
     return true;
-  if (head->gone)
-    return head->refused || now >= *head->lost_at + stall_;
-  // A head that is out of this node's reach may still serve. Only its process'
-  // end, or its leaving the platform's list, says that it doesn't.
+  // A head that is out of this node's reach may still serve others for a moment.
+  // Its members leave it before they join elsewhere.
   if (head->lost)
-    return head->refused;
+    return head->refused || now >= *head->lost_at + kLostHead;
   const bool told = head->ordered_close == of.epoch;
   const bool reported_since = head->reported_at > of.since;
   if (reported_since || head->facts.engine.started_ms > of.head_started_ms) {
     if (!IsIn(*head, of))
       return true;
     const auto state = head->facts.engine.member->state;
-    if (state == fleet::member_state::kBroken ||
-        state == fleet::member_state::kReady)
-      return told || state == fleet::member_state::kBroken;
+    // An order to open shows only when it is done.
+    const bool opening = head->reported_at < head->opened_at + layout_->form;
+    return state == fleet::member_state::kBroken ||
+           (state == fleet::member_state::kReady && told && !opening);
   }
   if (of.close == fleet::close_mode::kFinish && now - of.since > kFinishBound) {
     of.close = fleet::close_mode::kCut;
     head->order_not_before = now;
   }
   if (!head->order_pending && now >= head->order_not_before) {
-    head->ordered_close = of.epoch;
     Send(*head, fleet::close_group{of.name, of.epoch, of.close}, out);
   }
   return false;
@@ -625,7 +646,7 @@
     return;
   of.asked_at = now;
   of.last_asked = now;
-  out.questions.push_back(of.facts.id);
+  out.questions.push_back({of.facts.id, of.facts.address});
 }
 
 void planner::AskWhereDue(plan& out, base::time_point now) {
@@ -659,8 +680,8 @@
     } else if (of.phase == group_phase::kOpening && head) {
       if (now - of.since >= layout_->form * 9 / 10)
         ask_every(*head, kAskSoon);
-    } else if (of.phase == group_phase::kClosing && head && !head->lost) {
-      ask_every(*head, kAskSoon);
+    } else if (of.phase == group_phase::kClosing && head) {
+      ask_every(*head, head->lost ? kAskLostHead : kAskSoon);
     }
   }
 }
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -48,10 +48,16 @@
   const base::instance_id& head() const { return members.front(); }
 };
 
+/// A replica to ask for a report.
+struct question {
+  base::instance_id to;
+  std::string address;
+};
+
 /// What the acting node carries out.
 struct plan {
   std::vector<fleet::order> orders;
-  std::vector<base::instance_id> questions;  ///< Ask these for a report.
+  std::vector<question> questions;
 };
 
 /// One change of a group, for the log.
@@ -62,9 +68,7 @@
 
 class planner {
  public:
-  /// @param stall how long a head that lost a member, or was lost itself, may
-  ///        stand still before it counts as broken.
-  planner(std::string service, base::duration stall);
+  explicit planner(std::string service);
 
   void SetLayout(const gateway::engine_pace& layout);
 
@@ -74,7 +78,8 @@
 
   /// From the platform's list, which lags behind reports.
   void Listed(const fleet::replica& replica, base::time_point now);
-  void Gone(const base::instance_id& id, base::time_point now);
+  /// It left the platform's list; it may still live.
+  void Gone(const base::instance_id& id);
 
   /// Answers to questions.
   void Reported(const base::instance_id& id,
@@ -122,7 +127,9 @@
     std::string ordered_group;        ///< Last join that was accepted.
     base::epoch ordered_epoch;
     base::time_point ordered_at{};
-    base::epoch ordered_close;        ///< Epoch of the last close sent.
+    base::epoch ordered_close;        ///< Epoch of the last close taken.
+    base::epoch left;  ///< Epoch of the last group it was told to leave.
+    base::time_point opened_at{};  ///< Last answer to an open.
     bool question_due = false;
     base::time_point last_asked{};
     bool refused = false;             ///< Its address takes no connections.
@@ -170,7 +177,6 @@
   void UpdateStatement();
 
   std::string service_;
-  base::duration stall_;
   std::optional<gateway::engine_pace> layout_;
   std::uint64_t term_ = 0;
   std::uint64_t epochs_ = 0;  ///< Given out in this term.
--- a/packages/groups/tests/correctness/a_lost_member_is_replaced.cc
+++ b/packages/groups/tests/correctness/a_lost_member_is_replaced.cc
@@ -32,17 +32,21 @@
   CHECK(replicas.breaches().empty());
 }
 
-TEST_CASE("Members of a head that is out of reach wait until it has broken") {
+TEST_CASE("Members of a head that is out of reach leave it before they join") {
   fake_replicas replicas(1, 11);
   planner acting = MakePlanner(replicas);
   replicas.Run(acting, milliseconds(6000));
   const group before = GroupOf(acting, "small");
   replicas.At(before.head()).cut = true;
   acting.Suspected(before.head(), replicas.now());
-  replicas.Run(acting, milliseconds(3500));
+  // It is asked again for a moment; a single lost packet changes nothing.
+  replicas.Run(acting, milliseconds(900));
   for (std::size_t i = 1; i < before.members.size(); ++i)
     CHECK(replicas.At(before.members[i]).facts.engine.member->epoch ==
           before.epoch);
+  replicas.Run(acting, milliseconds(4000));
+  CHECK(acting.statement().groups.size() == 2);
+  CHECK(replicas.breaches().empty());
 }
 
 TEST_CASE("A head whose process is gone holds up nobody") {
@@ -68,3 +72,32 @@
 }
 
 }  // namespace flamingoshunt::groups::testing
+
+namespace flamingoshunt::groups::testing {
+
+TEST_CASE("A head that is only unlisted is closed before its members move") {
+  fake_replicas replicas(1, 11);
+  planner acting = MakePlanner(replicas);
+  replicas.Run(acting, milliseconds(6000));
+  const base::instance_id head = acting.statement().groups.front().head;
+  acting.Gone(head);
+  replicas.Run(acting, milliseconds(100));
+  CHECK(acting.statement().groups.size() == 1);
+  replicas.Run(acting, milliseconds(6000));
+  CHECK(acting.statement().groups.size() == 2);
+  CHECK(replicas.breaches().empty());
+}
+
+TEST_CASE("A group whose member is unlisted serves on while there is no other") {
+  fake_replicas replicas(1, 9);
+  planner acting = MakePlanner(replicas);
+  replicas.Run(acting, milliseconds(6000));
+  const auto before = acting.statement();
+  REQUIRE(before.groups.size() == 2);
+  for (const auto& [name, each] : acting.groups())
+    acting.Gone(each.members.back());
+  replicas.Run(acting, milliseconds(3000));
+  CHECK(acting.statement() == before);
+}
+
+}  // namespace flamingoshunt::groups::testing
--- a/packages/groups/tests/correctness/groups_form_before_the_first_request.cc
+++ b/packages/groups/tests/correctness/groups_form_before_the_first_request.cc
@@ -16,7 +16,7 @@
 
 TEST_CASE("Replicas that are listed one after the other still form mixed groups") {
   fake_replicas replicas(1, 11);
-  planner acting("llm", milliseconds(4000));
+  planner acting("llm");
   acting.SetLayout(replicas.layout());
   acting.BeginTerm(1, replicas.now());
   for (const auto& [id, each] : replicas.hosts()) {
--- a/packages/groups/tests/fake_replicas.h
+++ b/packages/groups/tests/fake_replicas.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -84,9 +85,12 @@
       const plan next = acting.Tick(now_);
       for (const fleet::order& order : next.orders)
         Carry(acting, order);
-      for (const base::instance_id& id : next.questions)
-        Answer(acting, id);
-      acting.TakeChanges();
+      for (const question& each : next.questions)
+        Answer(acting, each.to);
+      for (const group_change& change : acting.TakeChanges()) {
+        if (on_change)
+          on_change(change);
+      }
     }
   }
 
@@ -201,6 +205,15 @@
       return Open(to, *open);
     if (const auto* close = std::get_if<fleet::close_group>(&order.body))
       return Close(to, *close);
+    if (const auto* leave = std::get_if<fleet::leave_group>(&order.body)) {
+      auto& in = to.facts.engine.member;
+      if (!in || in->group != leave->group || in->epoch != leave->epoch)
+        return fleet::order_result::kUnfit;
+      ++to.facts.engine.orders;
+      in.reset();
+      to.opening = false;
+      return fleet::order_result::kBegun;
+    }
     const auto& stage = std::get<fleet::stage_model>(order.body);
     staging_[order.to] = {stage.model, now_ + Load(stage.model)};
     ++to.facts.engine.orders;
@@ -281,6 +294,7 @@
 
  public:
   bool refuse_when_dead = false;
+  std::function<void(const group_change&)> on_change;
   bool requests_began = false;
 
  private:
@@ -296,7 +310,7 @@
 
 /// A planner that acts under @p term and knows all of @p replicas.
 inline planner MakePlanner(fake_replicas& replicas, std::uint64_t term = 1) {
-  planner acting("llm", milliseconds(4000));
+  planner acting("llm");
   acting.SetLayout(replicas.layout());
   replicas.ListAll(acting);
   acting.BeginTerm(term, replicas.now());
--- a/packages/groups/tests/fuzz/promises_hold_under_random_losses.cc
+++ b/packages/groups/tests/fuzz/promises_hold_under_random_losses.cc
@@ -25,11 +25,16 @@
     const auto kind = base::RandomIndex(random, 8);
     if (kind == 0) {
       host.dead = true;
-      acting.Gone(it->first, replicas.now());
+      acting.Gone(it->first);
     } else if (kind == 1) {
       host.cut = !host.cut;
     } else if (kind == 2) {
       acting.Listed(replicas.At(replicas.Add(step % 2)).facts, replicas.now());
+    } else if (kind == 5) {
+      // Unlisted, though it lives.
+      acting.Gone(it->first);
+    } else if (kind == 6 && !host.dead) {
+      acting.Listed(host.facts, replicas.now());
     } else if (kind < 5) {
       acting.Suspected(it->first, replicas.now());
     }
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -219,8 +219,6 @@
       std::chrono::duration<double>(gateway.retry_window).count());
   gateway.retry_window = std::chrono::duration_cast<milliseconds>(
       std::chrono::duration<double>(window_s));
-  gateway.stall =
-      reader.Milliseconds("stall_ms", kShortest, kLongest, gateway.stall);
   const double grace_s = reader.Number(
       "grace_s", 0, kLongestWindowSeconds,
       std::chrono::duration<double>(gateway.grace).count());
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -97,8 +97,6 @@
   double retry_ratio = 0.2;  ///< Repeats for each request, over the fleet.
   double retry_slack = 10;   ///< Repeats beyond that, over the fleet.
   std::chrono::milliseconds retry_window{10000};
-  /// How long a replica that lost a member stands still before it breaks.
-  std::chrono::milliseconds stall{4000};
   /// From the request to stop until the process is killed.
   std::chrono::milliseconds grace{8000};
   /// Whether the whole deployment starts for the first time, so that no caller
