--- a/packages/daemon/entry_duty.cc
+++ b/packages/daemon/entry_duty.cc
@@ -74,10 +74,9 @@
   while (true) {
     boost::this_fiber::sleep_for(kTellPeriod);
     gateway::entry_news news = entry_.TakeNews();
-    const bool changed = !(news.loads == told) ||
-                         news.seen_requests != told_requests ||
-                         !news.suspects.empty() || !news.crashes.empty() ||
-                         news.urgent;
+    const bool changed =
+        !(news.loads == told) || news.seen_requests != told_requests ||
+        !news.suspects.empty() || !news.crashes.empty() || news.urgent;
     if (!changed)
       continue;
     told = news.loads;
--- a/packages/daemon/flamingoshuntd_main.cc
+++ b/packages/daemon/flamingoshuntd_main.cc
@@ -3,8 +3,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 
-#include <cstdio>
 #include <csignal>
+#include <cstdio>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -77,9 +77,9 @@
     try {
       const auto read = settings::ReadSettings(ReadFile(config));
       telemetry::SetUpLog(LogSettings(read));
-      telemetry::LogChange("node", "reloaded",
-                           {{"applied", "log level"},
-                            {"after_restart", "everything else"}});
+      telemetry::LogChange(
+          "node", "reloaded",
+          {{"applied", "log level"}, {"after_restart", "everything else"}});
     } catch (const base::user_error& error) {
       telemetry::LogChange("node", "reload_failed", {{"why", error.what()}},
                            telemetry::log_level::kWarning);
--- a/packages/daemon/fleet_duty.cc
+++ b/packages/daemon/fleet_duty.cc
@@ -43,8 +43,8 @@
 
 std::string NodeStatement(const std::string& address,
                           std::uint64_t incarnation) {
-  return boost::json::serialize(boost::json::object{
-      {"address", address}, {"incarnation", incarnation}});
+  return boost::json::serialize(
+      boost::json::object{{"address", address}, {"incarnation", incarnation}});
 }
 
 std::optional<udp::endpoint> AddressIn(const std::string& statement) {
@@ -96,8 +96,8 @@
       datagram_(kDatagramBytes),
       timer_(thread_.loop(), [this] { Step(); }),
       pool_(thread_.loop()),
-      orders_sent_(metrics.AddCounter("fleet_orders_total",
-                                      "Orders sent to replicas")),
+      orders_sent_(
+          metrics.AddCounter("fleet_orders_total", "Orders sent to replicas")),
       reports_asked_(metrics.AddCounter("fleet_reports_total",
                                         "Reports asked of replicas")),
       peer_sends_failed_(metrics.AddCounter(
@@ -200,12 +200,12 @@
   try {
     read = wire_.ReadConfiguration(object.value);
   } catch (const base::user_error& error) {
-    telemetry::LogChange("fleet", "configuration_unreadable",
-                         {{"revision", object.version.value()},
-                          {"why", error.what()},
-                          {"kept", configuration_ ? configuration_->version()
-                                                  : 0}},
-                         telemetry::log_level::kWarning);
+    telemetry::LogChange(
+        "fleet", "configuration_unreadable",
+        {{"revision", object.version.value()},
+         {"why", error.what()},
+         {"kept", configuration_ ? configuration_->version() : 0}},
+        telemetry::log_level::kWarning);
     return;
   }
   // What was in force never comes back.
@@ -514,8 +514,7 @@
     SendTo(text, address);
 }
 
-void fleet_duty::SendTo(const std::string& text,
-                        const udp::endpoint& address) {
+void fleet_duty::SendTo(const std::string& text, const udp::endpoint& address) {
   boost::system::error_code error;
   socket_.send_to(boost::asio::buffer(text), address, 0, error);
   // A full buffer or an unreachable peer; the next datagram says it again.
@@ -744,7 +743,8 @@
     const auto& member = replica.engine.member;
     if (replica.service == service.name && member && member->rank == 0 &&
         member->state == fleet::member_state::kOpen)
-      groups.push_back({member->group, member->epoch, replica.engine.model, id});
+      groups.push_back(
+          {member->group, member->epoch, replica.engine.model, id});
   }
   return groups;
 }
--- a/packages/daemon/gateway_node.cc
+++ b/packages/daemon/gateway_node.cc
@@ -44,10 +44,9 @@
 }
 
 std::uint64_t IncarnationNow(const base::clock& clock) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(
-          clock.WallNow().time_since_epoch())
-          .count());
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                        clock.WallNow().time_since_epoch())
+                                        .count());
 }
 
 }  // namespace
--- a/packages/fleet/order.h
+++ b/packages/fleet/order.h
@@ -57,21 +57,21 @@
   order_id id;
   base::instance_id to;
   std::string address;
-  std::uint64_t term = 0;   ///< Of the acting node.
-  /// Rises with the term and with every order, so that an order which is carried
-  /// out late meets a replica that has seen a higher one.
+  std::uint64_t term = 0;  ///< Of the acting node.
+  /// Rises with the term and with every order, so that an order which is
+  /// carried out late meets a replica that has seen a higher one.
   std::uint64_t fence = 0;
   order_body body;
 };
 
 enum class order_result {
-  kBegun,        ///< Accepted; the report tells when it is done.
-  kDone,         ///< The state holds already.
-  kUnfit,        ///< Doesn't fit the replica's state.
-  kFenced,       ///< A higher fence, or a later epoch, was seen.
+  kBegun,          ///< Accepted; the report tells when it is done.
+  kDone,           ///< The state holds already.
+  kUnfit,          ///< Doesn't fit the replica's state.
+  kFenced,         ///< A higher fence, or a later epoch, was seen.
   kOtherInstance,  ///< Another replica has the address.
-  kRefused,      ///< Malformed, or not an engine.
-  kNoAnswer      ///< May be carried out, now or later.
+  kRefused,        ///< Malformed, or not an engine.
+  kNoAnswer        ///< May be carried out, now or later.
 };
 
 /// @return the name used in logs.
--- a/packages/fleet/peer_news.cc
+++ b/packages/fleet/peer_news.cc
@@ -131,8 +131,7 @@
     return json::serialize(out);
   json::array crashes;
   for (const gateway::crash_sighting& each : news.crashes)
-    crashes.push_back(
-        {each.request.value(), json::string(each.replica.str())});
+    crashes.push_back({each.request.value(), json::string(each.replica.str())});
   json::object statements;
   for (const auto& [service, statement] : news.statements)
     statements[service] = EncodeStatement(statement);
--- a/packages/fleet/peer_news.h
+++ b/packages/fleet/peer_news.h
@@ -49,8 +49,8 @@
   /// else is as it was.
   bool partial = false;
   base::node_id node;
-  std::uint64_t incarnation = 0;  ///< Rises from start to start of a node.
-  std::uint64_t sequence = 0;     ///< Rises with every datagram.
+  std::uint64_t incarnation = 0;    ///< Rises from start to start of a node.
+  std::uint64_t sequence = 0;       ///< Rises with every datagram.
   std::uint64_t configuration = 0;  ///< Version in force; 0 for none.
   bool seen_requests = false;  ///< Callers have reached this node or a peer.
   bool stopping = false;
--- a/packages/fleet/tests/correctness/lapsed_entries_may_come_back.cc
+++ b/packages/fleet/tests/correctness/lapsed_entries_may_come_back.cc
@@ -21,14 +21,16 @@
 
 }  // namespace
 
-TEST_CASE("A replica that leaves the list of a sound platform is gone at once") {
+TEST_CASE(
+    "A replica that leaves the list of a sound platform is gone at once") {
   replica_directory list;
   list.Put(Replica("a"));
   CHECK(list.Delete(base::instance_id("a"), At(0)));
   CHECK(list.replicas().empty());
 }
 
-TEST_CASE("Entries missing after an outage are kept until they had time to return") {
+TEST_CASE(
+    "Entries missing after an outage are kept until they had time to return") {
   replica_directory list;
   list.Put(Replica("a"));
   list.Put(Replica("b"));
@@ -43,7 +45,8 @@
   CHECK(list.replicas().size() == 1);
 }
 
-TEST_CASE("What leaves after the first news of a platform that is back is gone") {
+TEST_CASE(
+    "What leaves after the first news of a platform that is back is gone") {
   replica_directory list;
   list.Put(Replica("a"));
   list.NotePlatformFailure();
--- a/packages/fleet/tests/correctness/peers_know_each_others_loads.cc
+++ b/packages/fleet/tests/correctness/peers_know_each_others_loads.cc
@@ -33,8 +33,7 @@
   news.suspects = {kHead};
   news.crashes = {{base::fingerprint(~0ULL), kHead}};
   news.questions = {{kHead, 60}};
-  news.statements["llm"] = {
-      4, 5, {{"g", base::epoch(4000001), "m", kHead}}};
+  news.statements["llm"] = {4, 5, {{"g", base::epoch(4000001), "m", kHead}}};
   const auto back = DecodeNews(EncodeNews(news));
   REQUIRE(back);
   CHECK(back->sequence == 3);
@@ -70,7 +69,9 @@
   CHECK(peers.Live(At(2000), kSilence).empty());
 }
 
-TEST_CASE("Old news change nothing, unless their node restarted with its clock back") {
+TEST_CASE(
+    "Old news change nothing, unless their node restarted with its clock "
+    "back") {
   peer_table peers;
   peers.Take(News("a", 5, 2), At(0));
   CHECK_FALSE(peers.Take(News("a", 4, 7), At(10)));
--- a/packages/gateway/configuration.h
+++ b/packages/gateway/configuration.h
@@ -35,8 +35,8 @@
   bool resumable = false;   ///< A stream that another replica may continue.
   milliseconds timeout{30000};
   milliseconds first_answer_aim{1000};  ///< Full worth up to here.
-  milliseconds pause_aim{1000};  ///< Longest pause of a stream on time.
-  int priority = 0;              ///< 0 is the most urgent.
+  milliseconds pause_aim{1000};         ///< Longest pause of a stream on time.
+  int priority = 0;                     ///< 0 is the most urgent.
   std::vector<weighted_service> targets;
   int max_attempts = 1;  ///< Replicas that one request may be sent to.
   bool anonymous = false;
@@ -48,9 +48,9 @@
 /// How one model of an engine service is laid out over instances.
 struct model_layout {
   std::string name;
-  int size = 1;        ///< Instances in a group.
-  double share = 0;    ///< Part of the instances meant for this model.
-  double pace = 1;     ///< Factor on all times of a group.
+  int size = 1;          ///< Instances in a group.
+  double share = 0;      ///< Part of the instances meant for this model.
+  double pace = 1;       ///< Factor on all times of a group.
   milliseconds load{0};  ///< From the weight store.
   milliseconds warm{0};  ///< From the host's own copy.
 };
--- a/packages/gateway/crash_guard.cc
+++ b/packages/gateway/crash_guard.cc
@@ -10,8 +10,8 @@
 base::fingerprint crash_guard::Fingerprint(std::string_view workspace,
                                            std::string_view path,
                                            std::string_view body) {
-  return base::fingerprint(base::Hash64(
-      body, base::Hash64(path, base::Hash64(workspace))));
+  return base::fingerprint(
+      base::Hash64(body, base::Hash64(path, base::Hash64(workspace))));
 }
 
 bool crash_guard::Note(const crash_sighting& seen, base::time_point now) {
@@ -36,10 +36,10 @@
     return now - each.second.last >= kMemory;
   });
   while (histories_.size() >= kMaxRequests) {
-    histories_.erase(std::min_element(
-        histories_.begin(), histories_.end(), [](const auto& a, const auto& b) {
-          return a.second.last < b.second.last;
-        }));
+    histories_.erase(std::min_element(histories_.begin(), histories_.end(),
+                                      [](const auto& a, const auto& b) {
+                                        return a.second.last < b.second.last;
+                                      }));
   }
 }
 
--- a/packages/gateway/dispatcher.cc
+++ b/packages/gateway/dispatcher.cc
@@ -91,9 +91,8 @@
   for (const target& each : *targets) {
     const auto suspect = suspects_.find(each.instance);
     const bool suspected = suspect != suspects_.end() && suspect->second > now;
-    const bool tried =
-        std::find(request.avoid.begin(), request.avoid.end(), each.instance) !=
-        request.avoid.end();
+    const bool tried = std::find(request.avoid.begin(), request.avoid.end(),
+                                 each.instance) != request.avoid.end();
     if (each.model == request.model && !suspected && !tried)
       fit.push_back(&each);
   }
@@ -110,9 +109,8 @@
   probe.avoid = avoid;
   const engine_pace* pace = PaceOf(service);
   const auto fit = Candidates(probe, now);
-  return std::any_of(fit.begin(), fit.end(), [&](const target* each) {
-    return HasRoom(*each, pace);
-  });
+  return std::any_of(fit.begin(), fit.end(),
+                     [&](const target* each) { return HasRoom(*each, pace); });
 }
 
 std::optional<grant> dispatcher::TryPlace(const ask& request,
@@ -133,8 +131,8 @@
     double cost = static_cast<double>(candidate.load.running) / place.slots;
     if (pace) {
       candidate.expected =
-          EstimateWork(*pace, place.pace, candidate.load,
-                       request.prompt_tokens, request.output_tokens);
+          EstimateWork(*pace, place.pace, candidate.load, request.prompt_tokens,
+                       request.output_tokens);
       cost = Ms(candidate.expected.whole) + Ms(candidate.expected.first_event);
     }
     if (!best || cost < best_cost) {
@@ -142,9 +140,9 @@
       best_cost = cost;
     }
   }
-  placed_[request.ticket] = {
-      best->place.instance, PoolKey(request.service, request.model),
-      request.prompt_tokens, request.output_tokens, now};
+  placed_[request.ticket] = {best->place.instance,
+                             PoolKey(request.service, request.model),
+                             request.prompt_tokens, request.output_tokens, now};
   own_[best->place.instance] +=
       {1, request.prompt_tokens, request.output_tokens};
   return best;
@@ -180,10 +178,10 @@
                                              std::size_t in_pool,
                                              base::time_point now) const {
   const auto refuse = [&](refusal_reason reason, base::duration back) {
-    return refusal{request.ticket, reason,
-                   std::clamp<base::duration>(back, kShortestReturn,
-                                              kLongestReturn),
-                   in_pool};
+    return refusal{
+        request.ticket, reason,
+        std::clamp<base::duration>(back, kShortestReturn, kLongestReturn),
+        in_pool};
   };
   if (view_ && view_->configuration &&
       !view_->configuration->FindService(request.service))
@@ -194,10 +192,10 @@
   const engine_pace* pace = PaceOf(request.service);
   std::size_t slots = 0;
   for (const target* each : fit)
-    slots += static_cast<std::size_t>(
-        std::max(1, pace ? pace->slots : each->slots));
+    slots +=
+        static_cast<std::size_t>(std::max(1, pace ? pace->slots : each->slots));
   const base::duration turn = TurnIn(request, ahead, now);
-  if (in_pool > slots * kLinePerSlot)
+  if (ahead >= slots * kLinePerSlot)
     return refuse(refusal_reason::kLineFull, turn);
   base::duration needed{};
   if (pace)
@@ -222,8 +220,7 @@
   const auto found = placed_.find(ticket);
   if (found == placed_.end())
     return;
-  own_[found->second.instance].unread -=
-      std::exchange(found->second.unread, 0);
+  own_[found->second.instance].unread -= std::exchange(found->second.unread, 0);
 }
 
 decisions dispatcher::Ended(ticket_id ticket,
@@ -302,8 +299,7 @@
     if (auto placed = TryPlace(*it, now)) {
       made.grants.push_back(std::move(*placed));
       it = waiting_.erase(it);
-    } else if (auto refused =
-                   JudgeWait(*it, ahead[pool], sizes[pool], now)) {
+    } else if (auto refused = JudgeWait(*it, ahead[pool], sizes[pool], now)) {
       made.refusals.push_back(*refused);
       it = waiting_.erase(it);
     } else {
--- a/packages/gateway/dispatcher.h
+++ b/packages/gateway/dispatcher.h
@@ -31,10 +31,10 @@
   std::string service;
   std::string model;  ///< Empty for a plain service.
   std::int64_t prompt_tokens = 0;
-  std::int64_t output_tokens = 0;  ///< Expected.
-  int priority = 0;                ///< 0 is the most urgent.
-  base::time_point on_time_until{};  ///< First answer by then is on time.
-  base::time_point give_up_at{};     ///< No use after that.
+  std::int64_t output_tokens = 0;        ///< Expected.
+  int priority = 0;                      ///< 0 is the most urgent.
+  base::time_point on_time_until{};      ///< First answer by then is on time.
+  base::time_point give_up_at{};         ///< No use after that.
   std::vector<base::instance_id> avoid;  ///< Tried before.
 };
 
@@ -46,9 +46,9 @@
 };
 
 enum class refusal_reason {
-  kNoReplica,     ///< Nothing serves this service or model at the moment.
-  kWaitTooLong,   ///< Its turn would come too late.
-  kLineFull,      ///< Too many wait already.
+  kNoReplica,      ///< Nothing serves this service or model at the moment.
+  kWaitTooLong,    ///< Its turn would come too late.
+  kLineFull,       ///< Too many wait already.
   kUnknownService  ///< The configuration doesn't name it.
 };
 
--- a/packages/gateway/entry.cc
+++ b/packages/gateway/entry.cc
@@ -168,7 +168,8 @@
   telemetry::LogChange(
       "gateway", "replica_suspected",
       {{"instance", replica.str()},
-       {"silent_ms", std::chrono::duration_cast<milliseconds>(silence).count()}});
+       {"silent_ms",
+        std::chrono::duration_cast<milliseconds>(silence).count()}});
   new_suspects_.push_back(replica);
   tell_(TakeNews());
 }
--- a/packages/gateway/entry.h
+++ b/packages/gateway/entry.h
@@ -41,18 +41,18 @@
 
 /// What the control thread tells.
 struct fleet_update {
-  fleet_view_ptr view;               ///< Null when unchanged.
-  load_map loads;  ///< What the others have placed, where it changed.
+  fleet_view_ptr view;  ///< Null when unchanged.
+  load_map loads;       ///< What the others have placed, where it changed.
   std::vector<base::instance_id> suspects;  ///< Stand still, as others see.
   std::vector<crash_sighting> crashes;
-  std::vector<silence_ask> questions;           ///< Of other nodes.
-  std::vector<base::instance_id> heard_of;      ///< By other nodes.
+  std::vector<silence_ask> questions;       ///< Of other nodes.
+  std::vector<base::instance_id> heard_of;  ///< By other nodes.
   std::optional<retry_allowance> allowance;
 };
 
 /// What the request path tells the control thread.
 struct entry_news {
-  load_map loads;  ///< All that this node has placed.
+  load_map loads;       ///< All that this node has placed.
   bool urgent = false;  ///< Peers decide better when they know it at once.
   std::vector<silence_ask> questions;
   std::vector<silence_refuted> answers;
--- a/packages/gateway/fleet_view.h
+++ b/packages/gateway/fleet_view.h
@@ -29,9 +29,10 @@
 
 /// What one node has placed on a target and not seen end.
 struct placed_load {
-  int running = 0;            ///< Requests sent and not ended.
-  std::int64_t unread = 0;    ///< Prompt tokens before the first event.
-  std::int64_t unwritten = 0; ///< Output tokens expected after the first event.
+  int running = 0;          ///< Requests sent and not ended.
+  std::int64_t unread = 0;  ///< Prompt tokens before the first event.
+  std::int64_t unwritten =
+      0;  ///< Output tokens expected after the first event.
 
   placed_load& operator+=(const placed_load& other) {
     running += other.running;
--- a/packages/gateway/pace_model.cc
+++ b/packages/gateway/pace_model.cc
@@ -28,17 +28,15 @@
                            std::int64_t prompt_tokens,
                            std::int64_t output_tokens) {
   const double running = std::min(load.running + 1, pace.slots);
-  const double context =
-      running * (pace.usual_prompt + pace.usual_answer / 2) /
-      kTokensPerKilotoken;
+  const double context = running * (pace.usual_prompt + pace.usual_answer / 2) /
+                         kTokensPerKilotoken;
   const double step = pace.step_ms + running * pace.step_per_sequence_ms +
                       context * pace.step_per_kilotoken_ms;
   const double pass = pace.steps_per_pass * step * factor;
   const double unread = static_cast<double>(load.unread);
-  const double read =
-      (ReadMs(pace, static_cast<double>(prompt_tokens)) +
-       unread / pace.read_tokens_per_ms) *
-      factor;
+  const double read = (ReadMs(pace, static_cast<double>(prompt_tokens)) +
+                       unread / pace.read_tokens_per_ms) *
+                      factor;
   // A request that finds every slot taken waits for one to end.
   const double over = std::max(0, load.running + 1 - pace.slots);
   const double mean_passes =
--- a/packages/gateway/protocol.h
+++ b/packages/gateway/protocol.h
@@ -23,7 +23,7 @@
   std::string model;                       ///< Empty outside engines.
   std::int64_t prompt_tokens = 0;
   std::int64_t most_output_tokens = 0;
-  std::int64_t expected_output_tokens = 0;  ///< 0 without an estimate.
+  std::int64_t expected_output_tokens = 0;    ///< 0 without an estimate.
   std::optional<std::uint64_t> resume_after;  ///< Last event the caller has.
 };
 
@@ -39,8 +39,8 @@
 /// What the head of an endpoint's answer says.
 struct answer_head {
   int status = 0;
-  std::string request_id;   ///< Empty when the endpoint doesn't echo it.
-  bool not_run = false;     ///< The endpoint vouches that it did not run.
+  std::string request_id;    ///< Empty when the endpoint doesn't echo it.
+  bool not_run = false;      ///< The endpoint vouches that it did not run.
   bool signed_body = false;  ///< Carries the proof of a replica's own answer.
   bool foreign_coding = false;  ///< Encoded, which no replica does.
 };
--- a/packages/gateway/retry_budget.h
+++ b/packages/gateway/retry_budget.h
@@ -18,8 +18,8 @@
 
 /// Of one service and the whole fleet, in any window.
 struct retry_allowance {
-  double ratio = 0.1;   ///< Repeats for each request.
-  double slack = 10;    ///< Repeats beyond that.
+  double ratio = 0.1;  ///< Repeats for each request.
+  double slack = 10;   ///< Repeats beyond that.
   base::duration window = std::chrono::seconds(10);
 };
 
--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -111,8 +111,8 @@
     Refuse(kBadRequest, "no_request_id", std::nullopt);
     return false;
   }
-  route_ = configuration_->Match(
-      Std(request[boost::beast::http::field::host]), path);
+  route_ = configuration_->Match(Std(request[boost::beast::http::field::host]),
+                                 path);
   if (!route_) {
     Refuse(kNotFound, "no_route", std::nullopt);
     return false;
@@ -125,9 +125,8 @@
   if (holder)
     workspace_ = holder->id;
   priority_ = holder && holder->priority ? *holder->priority : route_->priority;
-  const base::duration patience =
-      std::min<base::duration>(head_.patience.value_or(route_->timeout),
-                               route_->timeout);
+  const base::duration patience = std::min<base::duration>(
+      head_.patience.value_or(route_->timeout), route_->timeout);
   give_up_at_ = arrived_ + patience;
   double sum = 0;
   for (const weighted_service& each : route_->targets)
@@ -159,10 +158,10 @@
   request.service = service_;
   request.model = head_.model;
   request.prompt_tokens = head_.prompt_tokens;
-  request.output_tokens = head_.expected_output_tokens > 0
-                              ? std::min(head_.expected_output_tokens,
-                                         head_.most_output_tokens)
-                              : head_.most_output_tokens;
+  request.output_tokens =
+      head_.expected_output_tokens > 0
+          ? std::min(head_.expected_output_tokens, head_.most_output_tokens)
+          : head_.most_output_tokens;
   request.priority = started_ ? kResumePriority : priority_;
   request.on_time_until = arrived_ + route_->first_answer_aim;
   request.give_up_at = give_up_at_;
@@ -292,10 +291,11 @@
   } catch (const runtime::transport_error& error) {
     // The replica closed an idle connection while the request was on its way;
     // a request that may run again gets one of its own.
-    const bool crossed = pooled && !started_ && !caller_gone_ && !suspected_ &&
-                         error.failure() == runtime::transport_failure::kClosed &&
-                         host_.Now() - last_heard_ < kCrossing &&
-                         host_.budget_.TryRepeat(service_, host_.Now());
+    const bool crossed =
+        pooled && !started_ && !caller_gone_ && !suspected_ &&
+        error.failure() == runtime::transport_failure::kClosed &&
+        host_.Now() - last_heard_ < kCrossing &&
+        host_.budget_.TryRepeat(service_, host_.Now());
     if (!crossed)
       throw;
   }
@@ -325,9 +325,8 @@
 }
 
 base::duration session::SilenceBound() const {
-  return begun_
-             ? host_.stalls_.GapBound(*at_, expected_.event_gap)
-             : host_.stalls_.FirstEventBound(Pool(), expected_.first_event);
+  return begun_ ? host_.stalls_.GapBound(*at_, expected_.event_gap)
+                : host_.stalls_.FirstEventBound(Pool(), expected_.first_event);
 }
 
 void session::CheckSilence() {
@@ -453,8 +452,8 @@
 
 session::ending session::BufferAnswer(const runtime::http_response_head& head) {
   std::string body;
-  while (upstream_->ReadSome(body, std::max<base::duration>(
-                                       Left(), milliseconds(1)))) {
+  while (upstream_->ReadSome(
+      body, std::max<base::duration>(Left(), milliseconds(1)))) {
     if (body.size() > kBufferedAnswer && IsSuccess(head.status))
       return RelayLarge(head, std::move(body));
   }
@@ -539,10 +538,10 @@
 void session::GiveUp(ending how) {
   const bool late = how == ending::kOutOfTime || how == ending::kStalled;
   const int status = late ? kGatewayTimeout : kBadGateway;
-  exchange_.SendWhole(status, "application/problem+json",
-                      std::string(R"({"type":")") + NameOf(how) +
-                          R"(","outcome":"unknown"})",
-                      host_.wire_.OwnFields(head_.id, std::nullopt));
+  exchange_.SendWhole(
+      status, "application/problem+json",
+      std::string(R"({"type":")") + NameOf(how) + R"(","outcome":"unknown"})",
+      host_.wire_.OwnFields(head_.id, std::nullopt));
   host_.metrics_.failed.Add();
   LogDone(NameOf(how), status);
 }
@@ -550,10 +549,10 @@
 void session::Refuse(int status,
                      std::string_view reason,
                      std::optional<base::duration> retry_after) {
-  exchange_.SendWhole(status, "application/problem+json",
-                      R"({"type":")" + std::string(reason) +
-                          R"(","outcome":"not_run"})",
-                      host_.wire_.OwnFields(head_.id, retry_after));
+  exchange_.SendWhole(
+      status, "application/problem+json",
+      R"({"type":")" + std::string(reason) + R"(","outcome":"not_run"})",
+      host_.wire_.OwnFields(head_.id, retry_after));
   if (status == kUnavailable)
     host_.metrics_.refused.Add();
   else
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -31,13 +31,13 @@
  private:
   /// How an attempt ended.
   enum class ending {
-    kComplete,    ///< The caller has the replica's whole answer.
-    kNotRun,      ///< The replica vouches that it did not run.
-    kNotSent,     ///< No byte of the request left.
-    kFailed,      ///< The replica answered with a failure of its own.
-    kBroken,      ///< Cut off, or not an answer.
-    kStalled,     ///< Silent for too long.
-    kOutOfTime,   ///< The caller's or the route's time is over.
+    kComplete,   ///< The caller has the replica's whole answer.
+    kNotRun,     ///< The replica vouches that it did not run.
+    kNotSent,    ///< No byte of the request left.
+    kFailed,     ///< The replica answered with a failure of its own.
+    kBroken,     ///< Cut off, or not an answer.
+    kStalled,    ///< Silent for too long.
+    kOutOfTime,  ///< The caller's or the route's time is over.
     kCallerGone
   };
   static const char* NameOf(ending how);
@@ -96,11 +96,12 @@
   base::duration longest_gap_{};
   int status_ = 200;  ///< Of the answer passed on.
   std::vector<base::instance_id> tried_;
-  int sent_ = 0;            ///< Replicas that the request was sent to.
+  int sent_ = 0;  ///< Replicas that the request was sent to.
   bool may_have_run_ = false;
-  bool started_ = false;    ///< The caller has the head of a stream.
+  bool started_ = false;  ///< The caller has the head of a stream.
   event_splitter events_;
-  std::optional<kept_answer> kept_;  ///< A replica's failure, for want of better.
+  std::optional<kept_answer>
+      kept_;  ///< A replica's failure, for want of better.
 };
 
 }  // namespace flamingoshunt::gateway
--- a/packages/gateway/tests/correctness/a_request_reaches_its_replica_untouched.cc
+++ b/packages/gateway/tests/correctness/a_request_reaches_its_replica_untouched.cc
@@ -29,7 +29,8 @@
   });
 }
 
-TEST_CASE("A service without replicas is refused at once, with a time to return") {
+TEST_CASE(
+    "A service without replicas is refused at once, with a time to return") {
   gateway_harness([](gateway_harness& test) {
     test.Serve({});
     const auto answer = test.Call("/safe/x");
--- /dev/null
+++ b/packages/gateway/tests/correctness/crashing_requests_are_stopped.cc
@@ -0,0 +1,32 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/crash_guard.h"
+#include "gateway/tests/dispatch_fixture.h"
+
+namespace flamingoshunt::gateway::testing {
+
+TEST_CASE("A request is refused from its third crash on, by body and caller") {
+  crash_guard guard;
+  const auto poison = crash_guard::Fingerprint("w", "/x", "poison");
+  for (const char* replica : {"a", "b"})
+    CHECK(guard.Note({poison, base::instance_id(replica)}, At(0)));
+  CHECK_FALSE(guard.Refuses(poison, At(0)));
+  CHECK_FALSE(guard.Note({poison, base::instance_id("b")}, At(0)));
+  CHECK_FALSE(guard.Refuses(poison, At(0)));
+  guard.Note({poison, base::instance_id("c")}, At(0));
+  CHECK(guard.Refuses(poison, At(0)));
+  CHECK_FALSE(
+      guard.Refuses(crash_guard::Fingerprint("v", "/x", "poison"), At(0)));
+  CHECK_FALSE(guard.Refuses(poison, At(0) + crash_guard::kMemory));
+}
+
+TEST_CASE("The memory of crashes is bounded") {
+  crash_guard guard;
+  for (std::uint64_t i = 0; i < 3 * crash_guard::kMaxRequests; ++i)
+    guard.Note({base::fingerprint(i), base::instance_id("a")},
+               At(static_cast<int>(i)));
+  guard.Note({base::fingerprint(1), base::instance_id("b")}, At(99999));
+  CHECK_FALSE(guard.Refuses(base::fingerprint(1), At(99999)));
+}
+
+}  // namespace flamingoshunt::gateway::testing
--- /dev/null
+++ b/packages/gateway/tests/correctness/events_are_cut_whole.cc
@@ -0,0 +1,42 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/event_splitter.h"
+
+namespace flamingoshunt::gateway::testing {
+
+TEST_CASE("Events come out whole, however the bytes arrive") {
+  const std::string stream =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+  for (std::size_t step = 1; step <= stream.size(); ++step) {
+    event_splitter splitter;
+    std::string out;
+    for (std::size_t at = 0; at < stream.size(); at += step)
+      out += splitter.Feed(std::string_view(stream).substr(at, step));
+    CHECK(out == stream);
+    CHECK(splitter.events() == 3);
+    CHECK(splitter.last_id() == 3);
+    CHECK_FALSE(splitter.partial());
+  }
+}
+
+TEST_CASE("A stream that continues drops what the caller has") {
+  event_splitter splitter(2);
+  CHECK(splitter.Feed("id: 2\ndata: b\n\nid: 3\ndata: c\n\n") ==
+        "id: 3\ndata: c\n\n");
+}
+
+TEST_CASE("Nothing comes out after a missing event") {
+  event_splitter splitter(2);
+  CHECK(splitter.Feed("id: 3\ndata: c\n\nid: 5\ndata: e\n\nid: 6\n\n") ==
+        "id: 3\ndata: c\n\n");
+  CHECK(splitter.gap());
+  CHECK(splitter.last_id() == 3);
+}
+
+TEST_CASE("The start of an unfinished event is kept") {
+  event_splitter splitter;
+  CHECK(splitter.Feed("id: 1\nda").empty());
+  CHECK(splitter.partial());
+}
+
+}  // namespace flamingoshunt::gateway::testing
--- a/packages/gateway/tests/correctness/idempotent_work_goes_elsewhere.cc
+++ b/packages/gateway/tests/correctness/idempotent_work_goes_elsewhere.cc
@@ -30,7 +30,8 @@
 
 }  // namespace
 
-TEST_CASE("A replica's failure, cut, silence or garbage costs one more replica") {
+TEST_CASE(
+    "A replica's failure, cut, silence or garbage costs one more replica") {
   const std::vector<gateway_harness::replica_script> kinds = {
       [](auto& exchange) { exchange.SendWhole(500, "", "oops"); },
       [](auto& exchange) { exchange.Abort(); },
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -82,9 +82,9 @@
       std::optional<base::duration> retry_after) const override {
     if (!retry_after)
       return {};
-    return {{"Retry-After", std::to_string(std::chrono::duration<double>(
-                                               *retry_after)
-                                               .count())}};
+    return {
+        {"Retry-After",
+         std::to_string(std::chrono::duration<double>(*retry_after).count())}};
   }
 
  private:
@@ -244,8 +244,9 @@
   plain_protocol wire_;
   telemetry::metric_registry registry_;
   metrics metrics_{registry_};
-  entry entry_{loop_, clock_, wire_, metrics_, 1,
-               [this](entry_news told) { news = std::move(told); }};
+  entry entry_{loop_, clock_,
+               wire_, metrics_,
+               1,     [this](entry_news told) { news = std::move(told); }};
   std::unique_ptr<runtime::http_server> callers_;
   std::vector<std::unique_ptr<runtime::http_server>> replicas_;
   int calls_ = 0;
@@ -253,18 +254,18 @@
 
 /// Answers like a sound plain replica.
 inline void AnswerWell(runtime::http_exchange& exchange) {
-  exchange.SendWhole(200, "text/plain", "done",
-                     {{"Signature", "s"},
-                      {"Id", std::string(exchange.request()["Id"])}});
+  exchange.SendWhole(
+      200, "text/plain", "done",
+      {{"Signature", "s"}, {"Id", std::string(exchange.request()["Id"])}});
 }
 
 /// Streams events from after the one asked for up to @p last.
 inline void StreamEvents(runtime::http_exchange& exchange,
                          int last,
                          int stop_after = -1) {
-  exchange.StartStream(200, "text/event-stream",
-                       {{"Signature", "s"},
-                        {"Id", std::string(exchange.request()["Id"])}});
+  exchange.StartStream(
+      200, "text/event-stream",
+      {{"Signature", "s"}, {"Id", std::string(exchange.request()["Id"])}});
   const std::string from(exchange.request()["Last"]);
   for (int id = (from.empty() ? 0 : std::stoi(from)) + 1; id <= last; ++id) {
     exchange.Write("id: " + std::to_string(id) + "\ndata: x\n\n");
--- a/packages/groups/planner.cc
+++ b/packages/groups/planner.cc
@@ -249,9 +249,8 @@
     const auto* model = layout_->Find(head.facts.engine.model);
     const bool whole = model && of.rank == 0 &&
                        in.size() == static_cast<std::size_t>(model->size) &&
-                       std::all_of(in.begin(), in.end(), [&](const member* m) {
-                         return Usable(*m);
-                       });
+                       std::all_of(in.begin(), in.end(),
+                                   [&](const member* m) { return Usable(*m); });
     const bool active = of.state == fleet::member_state::kOpen ||
                         of.state == fleet::member_state::kClosing;
     if (of.rank != 0 || (!active && !whole))
@@ -356,14 +355,14 @@
       return;
     }
     const bool in = IsIn(*each, of);
-    if (in && each->facts.engine.member->state != fleet::member_state::kJoining) {
+    if (in &&
+        each->facts.engine.member->state != fleet::member_state::kJoining) {
       ++ready;
       continue;
     }
-    const bool ordered = each->ordered_group == of.name &&
-                         each->ordered_epoch == of.epoch &&
-                         now - each->ordered_at <
-                             JoinTime(*each, of.model) + kOrderPatience;
+    const bool ordered =
+        each->ordered_group == of.name && each->ordered_epoch == of.epoch &&
+        now - each->ordered_at < JoinTime(*each, of.model) + kOrderPatience;
     if (in || ordered || each->order_pending || now < each->order_not_before)
       continue;
     // Nobody joins a group while still a member of another, whose head may not
@@ -435,8 +434,8 @@
   member* head = Find(of.head());
   if (!head)
     return true;
-  // A head that is out of this node's reach may still serve others for a moment.
-  // Its members leave it before they join elsewhere.
+  // A head that is out of this node's reach may still serve others for a
+  // moment. Its members leave it before they join elsewhere.
   if (head->lost)
     return head->refused || now >= *head->lost_at + kLostHead;
   const bool told = head->ordered_close == of.epoch;
@@ -472,8 +471,8 @@
 }
 
 std::size_t planner::InDomain(const base::fabric_domain_id& domain) const {
-  return static_cast<std::size_t>(std::count_if(
-      members_.begin(), members_.end(), [&](const auto& each) {
+  return static_cast<std::size_t>(
+      std::count_if(members_.begin(), members_.end(), [&](const auto& each) {
         return each.second.facts.engine.fabric_domain == domain;
       }));
 }
@@ -526,7 +525,8 @@
   const auto rank = [&](const member* each) {
     const bool same = each->facts.engine.model == model.name;
     const bool held = Holds(*each, model.name);
-    const bool empty = each->facts.engine.staged.empty() && each->loading.empty();
+    const bool empty =
+        each->facts.engine.staged.empty() && each->loading.empty();
     const bool slow = each->facts.engine.slowness > kSlow;
     return std::tuple(slow, same ? 0 : (held ? 1 : (empty ? 2 : 3)),
                       each->facts.id);
@@ -613,9 +613,8 @@
 
 void planner::StageSpares(plan& out, base::time_point now) {
   auto models = layout_->models;
-  std::sort(models.begin(), models.end(), [](const auto& a, const auto& b) {
-    return a.size > b.size;
-  });
+  std::sort(models.begin(), models.end(),
+            [](const auto& a, const auto& b) { return a.size > b.size; });
   for (const auto& domain : Domains()) {
     const auto free = FreeIn(domain);
     for (const auto& model : models) {
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -30,7 +30,7 @@
   kForming,  ///< Members join.
   kOpening,  ///< All are ready; the head was told to open.
   kServing,
-  kClosing   ///< The head is told to close; then the members are free.
+  kClosing  ///< The head is told to close; then the members are free.
 };
 
 const char* NameOf(group_phase phase);
@@ -43,7 +43,7 @@
   group_phase phase = group_phase::kForming;
   base::time_point since{};  ///< Of the phase.
   fleet::close_mode close = fleet::close_mode::kCut;
-  std::string reason;  ///< Of the last change.
+  std::string reason;                 ///< Of the last change.
   std::uint64_t head_started_ms = 0;  ///< Start of the head's process.
   const base::instance_id& head() const { return members.front(); }
 };
@@ -94,7 +94,10 @@
   void Suspected(const base::instance_id& head, base::time_point now);
 
   /// Requests have arrived somewhere: loads now cost their full time.
-  void RequestsBegan() { loads_.StartCounting(); requests_began_ = true; }
+  void RequestsBegan() {
+    loads_.StartCounting();
+    requests_began_ = true;
+  }
 
   void Settled(const fleet::order& order,
                fleet::order_result result,
@@ -115,25 +118,25 @@
  private:
   struct member {
     fleet::replica facts;
-    base::time_point reported_at{};   ///< Last direct report; epoch if none.
+    base::time_point reported_at{};  ///< Last direct report; epoch if none.
     std::optional<base::time_point> asked_at;
-    int failures = 0;                 ///< Questions without an answer in a row.
-    bool lost = false;                ///< Unreachable, as far as is known.
+    int failures = 0;   ///< Questions without an answer in a row.
+    bool lost = false;  ///< Unreachable, as far as is known.
     std::optional<base::time_point> lost_at;
     bool order_pending = false;
     base::time_point order_not_before{};
-    std::string loading;              ///< Model under way from the weight store.
+    std::string loading;  ///< Model under way from the weight store.
     base::time_point loading_until{};
-    std::string ordered_group;        ///< Last join that was accepted.
+    std::string ordered_group;  ///< Last join that was accepted.
     base::epoch ordered_epoch;
     base::time_point ordered_at{};
-    base::epoch ordered_close;        ///< Epoch of the last close taken.
+    base::epoch ordered_close;  ///< Epoch of the last close taken.
     base::epoch left;  ///< Epoch of the last group it was told to leave.
     base::time_point opened_at{};  ///< Last answer to an open.
     bool question_due = false;
     base::time_point last_asked{};
-    bool refused = false;             ///< Its address takes no connections.
-    bool gone = false;                ///< Left the platform's list.
+    bool refused = false;  ///< Its address takes no connections.
+    bool gone = false;     ///< Left the platform's list.
   };
 
   member* Find(const base::instance_id& id);
@@ -149,9 +152,13 @@
   void StepOpening(group& of, plan& out, base::time_point now);
   void StepServing(group& of, plan& out, base::time_point now);
   bool StepClosing(group& of, plan& out, base::time_point now);
-  void Change(group& of, group_phase phase, base::time_point now,
+  void Change(group& of,
+              group_phase phase,
+              base::time_point now,
               std::string reason = {});
-  void Close(group& of, fleet::close_mode mode, std::string reason,
+  void Close(group& of,
+             fleet::close_mode mode,
+             std::string reason,
              base::time_point now);
   void FormGroups(bool settled, base::time_point now);
   std::size_t InDomain(const base::fabric_domain_id& domain) const;
--- a/packages/groups/term_keeper.cc
+++ b/packages/groups/term_keeper.cc
@@ -75,8 +75,8 @@
 }
 
 void term_keeper::BackOff(base::time_point now) {
-  backoff_ = std::clamp<base::duration>(backoff_ * 2, kFirstBackoff,
-                                        kLongestBackoff);
+  backoff_ =
+      std::clamp<base::duration>(backoff_ * 2, kFirstBackoff, kLongestBackoff);
   not_before_ = now + backoff_;
 }
 
--- a/packages/groups/term_keeper.h
+++ b/packages/groups/term_keeper.h
@@ -24,7 +24,9 @@
 
 class term_keeper {
  public:
-  term_keeper(base::node_id self, std::uint64_t incarnation, std::string service);
+  term_keeper(base::node_id self,
+              std::uint64_t incarnation,
+              std::string service);
 
   /// The object as watched or answered.
   void Seen(const store::object& object);
--- a/packages/groups/tests/correctness/a_lost_member_is_replaced.cc
+++ b/packages/groups/tests/correctness/a_lost_member_is_replaced.cc
@@ -88,7 +88,8 @@
   CHECK(replicas.breaches().empty());
 }
 
-TEST_CASE("A group whose member is unlisted serves on while there is no other") {
+TEST_CASE(
+    "A group whose member is unlisted serves on while there is no other") {
   fake_replicas replicas(1, 9);
   planner acting = MakePlanner(replicas);
   replicas.Run(acting, milliseconds(6000));
--- a/packages/groups/tests/correctness/groups_form_before_the_first_request.cc
+++ b/packages/groups/tests/correctness/groups_form_before_the_first_request.cc
@@ -14,7 +14,8 @@
   CHECK(replicas.breaches().empty());
 }
 
-TEST_CASE("Replicas that are listed one after the other still form mixed groups") {
+TEST_CASE(
+    "Replicas that are listed one after the other still form mixed groups") {
   fake_replicas replicas(1, 11);
   planner acting("llm");
   acting.SetLayout(replicas.layout());
--- a/packages/groups/tests/correctness/one_node_acts.cc
+++ b/packages/groups/tests/correctness/one_node_acts.cc
@@ -17,7 +17,8 @@
 store::reply Stored(const store::call& write, std::uint64_t revision) {
   store::reply reply;
   reply.outcome = store::call_outcome::kOk;
-  reply.current = store::object{write.key, base::revision(revision), write.value};
+  reply.current =
+      store::object{write.key, base::revision(revision), write.value};
   return reply;
 }
 
@@ -33,7 +34,8 @@
 
 }  // namespace
 
-TEST_CASE("A node that hears no actor takes the next term by a conditional write") {
+TEST_CASE(
+    "A node that hears no actor takes the next term by a conditional write") {
   term_keeper keeper(kA, 1, "llm");
   TakeOver(keeper, kA);
   CHECK(keeper.acting());
@@ -50,7 +52,8 @@
   CHECK_FALSE(second.Tick({kA, kB}, At(60000)));
 }
 
-TEST_CASE("A node that loses the write does not act and waits before the next") {
+TEST_CASE(
+    "A node that loses the write does not act and waits before the next") {
   term_keeper first(kA, 1, "llm");
   const auto object = TakeOver(first, kA);
   term_keeper second(kB, 1, "llm");
--- a/packages/groups/tests/fake_replicas.h
+++ b/packages/groups/tests/fake_replicas.h
@@ -25,10 +25,10 @@
   pace.loads_per_second = 5.5;
   pace.loads_at_once = 8;
   pace.form = milliseconds(300);
-  gateway::model_layout large{"large", 6, 0.67, 1.0, milliseconds(16000),
-                              milliseconds(1600)};
-  gateway::model_layout small{"small", 3, 0.33, 0.6, milliseconds(12000),
-                              milliseconds(1100)};
+  gateway::model_layout large{
+      "large", 6, 0.67, 1.0, milliseconds(16000), milliseconds(1600)};
+  gateway::model_layout small{
+      "small", 3, 0.33, 0.6, milliseconds(12000), milliseconds(1100)};
   pace.models = {large, small};
   return pace;
 }
@@ -123,14 +123,15 @@
   };
 
   bool IsWhole(const host& head) const {
-    return std::all_of(
-        head.members.begin(), head.members.end(), [&](const auto& id) {
-          const host& each = hosts_.at(id);
-          const auto& in = each.facts.engine.member;
-          return !each.dead && in && in->group == head.facts.engine.member->group &&
-                 in->epoch == head.facts.engine.member->epoch &&
-                 in->state != fleet::member_state::kJoining;
-        });
+    return std::all_of(head.members.begin(), head.members.end(),
+                       [&](const auto& id) {
+                         const host& each = hosts_.at(id);
+                         const auto& in = each.facts.engine.member;
+                         return !each.dead && in &&
+                                in->group == head.facts.engine.member->group &&
+                                in->epoch == head.facts.engine.member->epoch &&
+                                in->state != fleet::member_state::kJoining;
+                       });
   }
 
   void Progress() {
@@ -138,7 +139,8 @@
       auto& in = each.facts.engine.member;
       if (each.dead || !in)
         continue;
-      if (in->state == fleet::member_state::kJoining && now_ >= each.joined_at) {
+      if (in->state == fleet::member_state::kJoining &&
+          now_ >= each.joined_at) {
         in->state = fleet::member_state::kReady;
         each.facts.engine.model = each.joining_model;
         each.facts.engine.staged = {each.joining_model};
@@ -261,7 +263,9 @@
     return fleet::order_result::kBegun;
   }
 
-  bool Names(const host& to, const std::string& group, base::epoch epoch) const {
+  bool Names(const host& to,
+             const std::string& group,
+             base::epoch epoch) const {
     const auto& in = to.facts.engine.member;
     return in && in->group == group && in->epoch == epoch && in->rank == 0;
   }
@@ -303,7 +307,8 @@
   base::time_point now_{std::chrono::hours(1)};
   std::map<base::instance_id, host> hosts_;
   std::set<std::pair<base::instance_id, base::epoch>> ready_;
-  std::map<base::instance_id, std::pair<std::string, base::time_point>> staging_;
+  std::map<base::instance_id, std::pair<std::string, base::time_point>>
+      staging_;
   std::deque<late_order> late_;
   std::vector<std::string> breaches_;
 };
--- a/packages/runtime/http_client.cc
+++ b/packages/runtime/http_client.cc
@@ -90,9 +90,9 @@
     Close();
     const bool refused =
         connected.error == boost::asio::error::connection_refused;
-    throw transport_error(refused ? transport_failure::kRefused
-                                  : transport_failure::kConnect,
-                          address + ": " + connected.error.message());
+    throw transport_error(
+        refused ? transport_failure::kRefused : transport_failure::kConnect,
+        address + ": " + connected.error.message());
   }
   SetSocketOptions(stream_, kSilenceBound);
 }
@@ -162,8 +162,7 @@
       return true;
     }
   }
-  reusable_ =
-      !closed_ && parser_->get().keep_alive() && buffer_.size() == 0;
+  reusable_ = !closed_ && parser_->get().keep_alive() && buffer_.size() == 0;
   return false;
 }
 
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -219,9 +219,9 @@
       std::chrono::duration<double>(gateway.retry_window).count());
   gateway.retry_window = std::chrono::duration_cast<milliseconds>(
       std::chrono::duration<double>(window_s));
-  const double grace_s = reader.Number(
-      "grace_s", 0, kLongestWindowSeconds,
-      std::chrono::duration<double>(gateway.grace).count());
+  const double grace_s =
+      reader.Number("grace_s", 0, kLongestWindowSeconds,
+                    std::chrono::duration<double>(gateway.grace).count());
   gateway.grace = std::chrono::duration_cast<milliseconds>(
       std::chrono::duration<double>(grace_s));
   gateway.first_start = reader.Boolean("first_start", gateway.first_start);
@@ -271,8 +271,7 @@
     // Gateways tell each other nothing that needs the key.
     all.peers = ReadSection(whole, "peers", !gateway, problems, &ReadPeers);
     if (gateway)
-      all.gateway =
-          ReadSection(whole, "gateway", true, problems, &ReadGateway);
+      all.gateway = ReadSection(whole, "gateway", true, problems, &ReadGateway);
     all.threads = ReadSection(whole, "threads", false, problems, &ReadThreads);
     all.sizes = ReadSection(whole, "sizes", false, problems, &ReadSizes);
     all.timeouts =
--- a/packages/telemetry/log.cc
+++ b/packages/telemetry/log.cc
@@ -42,8 +42,8 @@
     const auto now = std::chrono::steady_clock::now();
     const double passed = std::chrono::duration<double>(now - last_).count();
     last_ = now;
-    tokens_ = std::min(per_second_ * kBurstSeconds,
-                       tokens_ + passed * per_second_);
+    tokens_ =
+        std::min(per_second_ * kBurstSeconds, tokens_ + passed * per_second_);
     if (tokens_ < 1)
       return false;
     tokens_ -= 1;
@@ -86,8 +86,7 @@
   if (settings.to_standard_output) {
     // One write for each line, whatever reads the other end.
     std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
-    auto pool =
-        std::make_shared<spdlog::details::thread_pool>(kQueuedLines, 1);
+    auto pool = std::make_shared<spdlog::details::thread_pool>(kQueuedLines, 1);
     auto logger = std::make_shared<spdlog::async_logger>(
         "flamingoshunt", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
         pool, spdlog::async_overflow_policy::overrun_oldest);
