--- a/packages/gateway/dispatcher.cc
+++ b/packages/gateway/dispatcher.cc
@@ -310,6 +310,24 @@
   return made;
 }
 
+base::duration dispatcher::ReadingTime(const std::string& service,
+                                       const base::instance_id& replica) const {
+  const engine_pace* pace = PaceOf(service);
+  const auto* targets = TargetsOf(service);
+  if (!pace || !targets)
+    return {};
+  double factor = 1;
+  for (const target& each : *targets) {
+    if (each.instance == replica)
+      factor = each.pace;
+  }
+  const double most = static_cast<double>(pace->read_chunk) *
+                      static_cast<double>(pace->steps_per_pass);
+  const double unread = std::min(
+      most, static_cast<double>(LoadOf(replica).unread));
+  return FromMs(factor * unread / pace->read_tokens_per_ms);
+}
+
 decisions dispatcher::Tick(base::time_point now) {
   return Pump(now);
 }
--- a/packages/gateway/entry.cc
+++ b/packages/gateway/entry.cc
@@ -13,6 +13,8 @@
 // A replica that stood still gets no new work for so long, unless it is heard
 // of before: the time in which the acting node finds out what happened.
 constexpr milliseconds kSuspicion{1000};
+// A full head refuses many; telling once in a while is enough.
+constexpr milliseconds kRefusalPeriod{500};
 // How often the streams are looked at for silences.
 constexpr milliseconds kSilenceCheck{20};
 // A replica heard of within this goes on, however short the asker's silence.
@@ -174,6 +176,15 @@
   tell_(TakeNews());
 }
 
+void entry::ReportRefusal(const base::instance_id& replica) {
+  base::time_point& told = refusals_told_[replica];
+  if (told != base::time_point() && Now() - told < kRefusalPeriod)
+    return;
+  told = Now();
+  new_suspects_.push_back(replica);
+  tell_(TakeNews());
+}
+
 void entry::HeardFrom(const base::instance_id& replica) {
   stalls_.Heard(replica, Now());
   Apply(dispatcher_.Clear(replica, Now()));
--- a/packages/gateway/entry.h
+++ b/packages/gateway/entry.h
@@ -101,6 +101,8 @@
   place WaitForPlace(ask request, runtime::fiber_signal& signal);
   void Ended(ticket_id ticket, bool whole);
   void ReportStall(const base::instance_id& replica, base::duration silence);
+  /// A head refused a request; it is looked at, but goes on getting work.
+  void ReportRefusal(const base::instance_id& replica);
   /// An event of a suspected replica proves that it goes on.
   void HeardFrom(const base::instance_id& replica);
   void ReportCrash(const crash_sighting& seen);
@@ -131,6 +133,7 @@
   bool placed_since_ = false;  ///< Since the last news.
   base::time_point next_check_{};
   std::vector<base::instance_id> new_suspects_;
+  std::map<base::instance_id, base::time_point> refusals_told_;
   std::vector<silence_ask> new_questions_;
   std::vector<silence_refuted> new_answers_;
   std::vector<crash_sighting> new_crashes_;
--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -245,6 +245,9 @@
     host_.pool_.Return(std::move(upstream_));
     upstream_.reset();
   }
+  // A head that takes nothing new may have lost a member.
+  if (how == ending::kNotRun && route_->stream)
+    host_.ReportRefusal(granted.place.instance);
   if (how != ending::kComplete)
     telemetry::LogChange("gateway", "attempt_ended",
                          {{"request", head_.id.str()},
--- a/packages/groups/planner.cc
+++ b/packages/groups/planner.cc
@@ -25,7 +25,7 @@
 constexpr milliseconds kOrderPatience{2000};
 // Requests of a closing group get so long to complete before they are cut and
 // continue elsewhere.
-constexpr milliseconds kFinishBound{1000};
+constexpr milliseconds kFinishBound{2000};
 // A join whose model the replica had in its last group.
 constexpr milliseconds kRejoin{200};
 constexpr milliseconds kAskSoon{80};
@@ -51,6 +51,9 @@
 constexpr double kMixBonus = 0.3;
 constexpr milliseconds kBusyTick{40};
 constexpr milliseconds kIdleTick{400};
+// Groups of one model that are changed at once because members leave.
+constexpr int kPlannedAtOnce = 1;
+constexpr char kLeavingReason[] = "member_leaving";
 constexpr double kSlow = 1.5;  // A slower replica is taken last.
 
 }  // namespace
@@ -421,10 +424,37 @@
   }
   if (leaving == 0)
     return;
-  // Without replacements a group serves as long as its leaving member stays.
-  const auto free = FreeIn(head.facts.engine.fabric_domain).size();
-  if (head.facts.leaving || head.gone || free >= leaving)
-    Close(of, fleet::close_mode::kFinish, "member_leaving", now);
+  // A leaving head takes nothing new. A leaving member stays while its head has
+  // work: its group serves on until it can be whole again at once, and groups
+  // take turns, so that many that leave together don't end all service.
+  const bool head_leaves = head.facts.leaving || head.gone;
+  const bool turn = WarmIn(head.facts.engine.fabric_domain, of.model) >= leaving &&
+                    ClosingForOthers(of.model) < kPlannedAtOnce;
+  if (head_leaves || turn)
+    Close(of, fleet::close_mode::kFinish, kLeavingReason, now);
+}
+
+// @return the free replicas of @p domain that need no load for @p model.
+std::size_t planner::WarmIn(const base::fabric_domain_id& domain,
+                            const std::string& model) const {
+  const auto free = FreeIn(domain);
+  return static_cast<std::size_t>(
+      std::count_if(free.begin(), free.end(), [&](const member* each) {
+        return each->loading.empty() && Holds(*each, model);
+      }));
+}
+
+// @return the groups of @p model that are changed because a member leaves.
+int planner::ClosingForOthers(const std::string& model) const {
+  int count = 0;
+  for (const auto& [name, each] : groups_) {
+    const bool closing = each.phase == group_phase::kClosing &&
+                         each.reason == kLeavingReason;
+    const bool forming = each.phase == group_phase::kForming ||
+                         each.phase == group_phase::kOpening;
+    count += each.model == model && (closing || forming) ? 1 : 0;
+  }
+  return count;
 }
 
 // @return whether the members are free.
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -176,6 +176,11 @@
   void AskWhereDue(plan& out, base::time_point now);
   std::vector<const member*> FreeIn(const base::fabric_domain_id& domain) const;
   std::set<base::fabric_domain_id> Domains() const;
+  std::size_t WarmIn(const base::fabric_domain_id& domain,
+                     const std::string& model) const;
+  std::size_t LeavingIn(const base::fabric_domain_id& domain,
+                        const std::string& model) const;
+  int ClosingForOthers(const std::string& model) const;
   int LoadsUnderWay(base::time_point now) const;
   bool MayLoad(int count, base::time_point now);
   base::duration LoadTime(const std::string& model) const;
--- /dev/null
+++ b/stand_ins/native/native_replica.cc
@@ -0,0 +1,207 @@
+#include "stand_ins/native/native_replica.h"
+
+#include <boost/fiber/operations.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include "runtime/fiber_scheduler.h"
+
+namespace flamingoshunt::stand_ins {
+namespace {
+
+namespace json = boost::json;
+
+constexpr char kKind[] = "servers";
+constexpr int kEvents = 20;  // Of every stream.
+
+std::string Field(const runtime::http_request& request, const char* name) {
+  return std::string(request[name]);
+}
+
+}  // namespace
+
+native_replica::native_replica(boost::asio::io_context& loop,
+                               native_replica_options options,
+                               native_store& store)
+    : options_(std::move(options)),
+      store_(store),
+      server_(std::make_unique<runtime::http_server>(
+          loop,
+          "127.0.0.1:0",
+          runtime::http_server_options{},
+          [this](auto& exchange) { Handle(exchange); })) {}
+
+void native_replica::Start() {
+  server_->Start();
+  Publish();
+}
+
+json::object native_replica::State() const {
+  json::object state{{"stage", "both"},
+                     {"seq", orders_},
+                     {"born", 1790000000000}};
+  if (options_.domain.empty())
+    return state;
+  state["domain"] = options_.domain;
+  state["staged"] =
+      model_.empty() ? json::array() : json::array{json::string(model_)};
+  state["models"] =
+      model_.empty()
+          ? json::array()
+          : json::array{json::object{{"name", model_}, {"version", 1}}};
+  if (!state_.empty()) {
+    const auto rank =
+        std::find(members_.begin(), members_.end(), options_.id) -
+        members_.begin();
+    state["group"] = json::object{{"name", group_},
+                                  {"epoch", epoch_},
+                                  {"rank", rank},
+                                  {"state", state_}};
+  }
+  return state;
+}
+
+void native_replica::Publish() {
+  if (crashed_)
+    return;
+  json::object entry = State();
+  entry["service"] = options_.service;
+  entry["address"] = server_->address();
+  entry["zone"] = options_.zone;
+  entry["version"] = "v1";
+  entry["slots"] = options_.slots;
+  entry["state"] = draining_ ? "draining" : "ready";
+  store_.Put(kKind, options_.id, std::move(entry));
+}
+
+void native_replica::Crash() {
+  crashed_ = true;
+  state_.clear();
+  server_->CloseAll();
+}
+
+void native_replica::Drain() {
+  draining_ = true;
+  Publish();
+}
+
+void native_replica::Handle(runtime::http_exchange& exchange) {
+  const auto& request = exchange.request();
+  const auto expected = Field(request, "X-Flamingoshunt-Expect-Instance");
+  if (!expected.empty() && expected != options_.id) {
+    exchange.SendWhole(421, "", "", {{"At-Server", options_.id}});
+    return;
+  }
+  if (request.target() == "/-/report")
+    exchange.SendWhole(200, "application/json", json::serialize(State()));
+  else if (request.target() == "/-/order")
+    TakeOrder(exchange);
+  else
+    Serve(exchange);
+}
+
+void native_replica::TakeOrder(runtime::http_exchange& exchange) {
+  const auto order = json::parse(exchange.request().body()).as_object();
+  const auto fence = order.at("fencing_token").to_number<std::uint64_t>();
+  int status = 412;
+  if (fence >= fence_) {
+    fence_ = fence;
+    status = Execute(order);
+  }
+  exchange.SendWhole(status, "", "");
+  Publish();
+}
+
+int native_replica::Execute(const json::object& order) {
+  const std::string op(order.at("op").as_string());
+  if (op == "stage") {
+    ++orders_;
+    model_ = std::string(order.at("model").as_string());
+    return 202;
+  }
+  const std::string group(order.at("group").as_string());
+  const auto epoch = order.at("epoch").to_number<std::uint64_t>();
+  if (op == "join") {
+    if (epoch < epoch_)
+      return 412;
+    if (group == group_ && epoch == epoch_ && !state_.empty())
+      return 200;
+    ++orders_;
+    group_ = group;
+    epoch_ = epoch;
+    model_ = std::string(order.at("model").as_string());
+    members_.clear();
+    for (const auto& each : order.at("members").as_array())
+      members_.emplace_back(each.as_string());
+    state_ = "joining";
+    runtime::SpawnFiber([this, epoch] {
+      boost::this_fiber::sleep_for(options_.join);
+      if (epoch == epoch_ && state_ == "joining")
+        state_ = "ready";
+      Publish();
+    });
+    return 202;
+  }
+  if (group != group_ || epoch != epoch_ || state_.empty())
+    return 409;
+  ++orders_;
+  if (op == "leave") {
+    state_.clear();
+    return 202;
+  }
+  if (op == "close") {
+    state_ = "ready";
+    return 202;
+  }
+  if (state_ == "joining")
+    return 409;
+  state_ = "open";
+  return 202;
+}
+
+void native_replica::Serve(runtime::http_exchange& exchange) {
+  const auto id = Field(exchange.request(), "X-Flamingoshunt-Request-Id");
+  const bool engine = !options_.domain.empty();
+  if (shedding || (engine && !open())) {
+    exchange.SendWhole(503, "", "",
+                       {{"X-Flamingoshunt-Not-Executed", "1"},
+                        {"At-Server", options_.id}});
+    return;
+  }
+  ++runs_[id];
+  if (engine) {
+    Stream(exchange);
+    return;
+  }
+  exchange.SendWhole(
+      200, "text/plain",
+      "done by " + options_.id + " for " +
+          Field(exchange.request(), "X-Flamingoshunt-Tenant"),
+      {{"X-Flamingoshunt-Request-Id", id},
+       {"X-Flamingoshunt-Response-Signature", "sig." + options_.id}});
+}
+
+void native_replica::Stream(runtime::http_exchange& exchange) {
+  const auto& request = exchange.request();
+  exchange.StartStream(
+      200, "text/event-stream",
+      {{"X-Flamingoshunt-Request-Id",
+        Field(request, "X-Flamingoshunt-Request-Id")},
+       {"X-Flamingoshunt-Response-Signature", "sig." + options_.id}});
+  const auto last = Field(request, "Last-Event-Id");
+  for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= kEvents;
+       ++event) {
+    while (stalled && !crashed_)
+      boost::this_fiber::sleep_for(options_.between_events);
+    if (crashed_ || !exchange.Write("id: " + std::to_string(event) +
+                                    "\ndata: token\n\n")) {
+      exchange.Abort();
+      return;
+    }
+    boost::this_fiber::sleep_for(options_.between_events);
+  }
+  exchange.EndStream();
+}
+
+}  // namespace flamingoshunt::stand_ins
--- /dev/null
+++ b/stand_ins/native/native_replica.h
@@ -0,0 +1,77 @@
+// Defines a stand-in for a replica of the users' platform: it lists itself in
+// the store, takes orders with fences and epochs, streams events as the head of
+// an open group, or answers as a plain service.
+#ifndef FLAMINGOSHUNT_STAND_INS_NATIVE_NATIVE_REPLICA_H_
+#define FLAMINGOSHUNT_STAND_INS_NATIVE_NATIVE_REPLICA_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "runtime/http_server.h"
+#include "stand_ins/native/native_store.h"
+
+namespace flamingoshunt::stand_ins {
+
+struct native_replica_options {
+  std::string id;
+  std::string service;
+  std::string zone = "z1";
+  std::string domain;  ///< Empty for a plain service.
+  int slots = 26;
+  /// Times of the engine; short, so that tests are.
+  base::duration join = std::chrono::milliseconds(30);
+  base::duration between_events = std::chrono::milliseconds(10);
+};
+
+class native_replica {
+ public:
+  native_replica(boost::asio::io_context& loop,
+                 native_replica_options options,
+                 native_store& store);
+
+  void Start();
+
+  /// Ends as a crash does: connections are cut, the entry stays for a while.
+  void Crash();
+
+  /// Says that it leaves, and goes on serving.
+  void Drain();
+
+  const std::string& id() const { return options_.id; }
+  bool open() const { return state_ == "open"; }
+  std::string address() const { return server_->address(); }
+
+  /// How often each request ran here, by its id.
+  const std::map<std::string, int>& runs() const { return runs_; }
+  bool stalled = false;  ///< Streams stop producing events.
+  bool shedding = false;  ///< Refuses requests as not run.
+
+ private:
+  void Handle(runtime::http_exchange& exchange);
+  void TakeOrder(runtime::http_exchange& exchange);
+  int Execute(const boost::json::object& order);
+  void Serve(runtime::http_exchange& exchange);
+  void Stream(runtime::http_exchange& exchange);
+  boost::json::object State() const;
+  void Publish();
+
+  native_replica_options options_;
+  native_store& store_;
+  std::unique_ptr<runtime::http_server> server_;
+  bool crashed_ = false;
+  bool draining_ = false;
+  std::uint64_t orders_ = 0;
+  std::uint64_t fence_ = 0;
+  std::string group_;
+  std::uint64_t epoch_ = 0;
+  std::string model_;
+  std::vector<std::string> members_;
+  std::string state_;  ///< Of its membership; empty for none.
+  std::map<std::string, int> runs_;
+};
+
+}  // namespace flamingoshunt::stand_ins
+
+#endif  // FLAMINGOSHUNT_STAND_INS_NATIVE_NATIVE_REPLICA_H_
--- /dev/null
+++ b/stand_ins/native/native_store.h
@@ -0,0 +1,66 @@
+// Defines a stand-in for the store of the users' platform: objects by kind and
+// name with conditional writes, lists in pages, and watches that wait.
+#ifndef FLAMINGOSHUNT_STAND_INS_NATIVE_NATIVE_STORE_H_
+#define FLAMINGOSHUNT_STAND_INS_NATIVE_NATIVE_STORE_H_
+
+#include <boost/json.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "runtime/fiber_wait.h"
+#include "runtime/http_server.h"
+
+namespace flamingoshunt::stand_ins {
+
+class native_store {
+ public:
+  native_store(boost::asio::io_context& loop, const std::string& address);
+
+  std::string address() const { return server_->address(); }
+  void Start() { server_->Start(); }
+  void Close() { server_->CloseAll(); }
+
+  /// Writes as the operator or a replica does, without conditions.
+  void Put(const std::string& kind,
+           const std::string& name,
+           boost::json::value spec);
+  void Delete(const std::string& kind, const std::string& name);
+
+  bool refuse = false;  ///< Answers every call with 503.
+  int calls = 0;
+
+ private:
+  struct change {
+    std::uint64_t revision = 0;
+    std::string kind;
+    bool deleted = false;
+    boost::json::object object;
+  };
+
+  void Handle(runtime::http_exchange& exchange);
+  void List(runtime::http_exchange& exchange,
+            const std::string& kind,
+            const std::string& after);
+  void Watch(runtime::http_exchange& exchange,
+             const std::string& kind,
+             std::uint64_t after,
+             base::duration wait);
+  void Write(runtime::http_exchange& exchange,
+             const std::string& kind,
+             std::string name);
+  void Note(const std::string& kind, const std::string& name, bool deleted);
+
+  std::map<std::string, std::map<std::string, boost::json::object>> kinds_;
+  std::deque<change> history_;
+  std::uint64_t revision_ = 100;
+  runtime::fiber_event changed_;
+  std::unique_ptr<runtime::http_server> server_;
+};
+
+}  // namespace flamingoshunt::stand_ins
+
+#endif  // FLAMINGOSHUNT_STAND_INS_NATIVE_NATIVE_STORE_H_
--- /dev/null
+++ b/tests/native/native_deployment.h
@@ -0,0 +1,71 @@
+// Defines a deployment of the users' platform on loopback, in one process: the
+// store and the replicas as stand-ins, and real gateway nodes with their
+// threads and sockets. It is never torn down; the process ends by EndProcess.
+#ifndef FLAMINGOSHUNT_TESTS_NATIVE_NATIVE_DEPLOYMENT_H_
+#define FLAMINGOSHUNT_TESTS_NATIVE_NATIVE_DEPLOYMENT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "daemon/gateway_node.h"
+#include "duty/duty_thread.h"
+#include "platform/native_deployment.h"
+#include "stand_ins/native/native_replica.h"
+#include "stand_ins/native/native_store.h"
+
+namespace flamingoshunt::native {
+
+/// What a caller got.
+struct caller_answer {
+  int status = 0;  ///< 0 when the connection ended without a head.
+  std::string body;
+  bool whole = false;
+};
+
+class native_deployment {
+ public:
+  /// Starts the stand-ins, writes configuration 1, starts the nodes and waits
+  /// until both models serve at every node.
+  explicit native_deployment(int nodes);
+
+  /// Runs @p body on the stand-ins' thread and waits for it.
+  void OnStandIns(const std::function<void()>& body);
+
+  /// Calls node @p index with the key of workspace w1.
+  caller_answer Call(int index,
+                     const std::string& path,
+                     const std::string& id,
+                     const runtime::http_fields& more = {});
+
+  /// Writes a configuration; @p with_extra adds the route /extra/.
+  void Configure(std::uint64_t version, bool with_extra);
+
+  /// @return whether @p done became true within @p bound.
+  bool Await(const std::function<bool()>& done,
+             std::chrono::milliseconds bound);
+
+  daemon::gateway_node& node(int index) { return *nodes_[static_cast<std::size_t>(index)]; }
+  stand_ins::native_store& store() { return *store_; }
+  std::vector<std::unique_ptr<stand_ins::native_replica>>& replicas() {
+    return replicas_;
+  }
+
+ private:
+  void StartStandIns();
+  void StartNode(int index);
+
+  base::system_clock clock_;
+  platform::native_deployment codec_;
+  platform::native_protocol protocol_;
+  duty::duty_thread thread_{"stand-ins"};
+  std::unique_ptr<stand_ins::native_store> store_;
+  std::vector<std::unique_ptr<stand_ins::native_replica>> replicas_;
+  std::vector<std::unique_ptr<daemon::gateway_node>> nodes_;
+};
+
+}  // namespace flamingoshunt::native
+
+#endif  // FLAMINGOSHUNT_TESTS_NATIVE_NATIVE_DEPLOYMENT_H_
--- /dev/null
+++ b/tests/native/native_deployment_test.cc
@@ -0,0 +1,171 @@
+// The whole path over the platform's wire: every kind of request, a resume, a
+// refusal, a change of the configuration, a lost member, a graceful stop.
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+#include "tests/native/native_deployment.h"
+
+namespace flamingoshunt::native {
+namespace {
+
+using std::chrono::milliseconds;
+
+native_deployment& Deployment() {
+  static auto* deployment = new native_deployment(3);
+  return *deployment;
+}
+
+const runtime::http_fields kLarge = {{"X-Flamingoshunt-Model", "m0"}};
+const runtime::http_fields kSmall = {{"X-Flamingoshunt-Model", "m1"}};
+
+std::string WholeStream() {
+  std::string out;
+  for (int event = 1; event <= 20; ++event)
+    out += "id: " + std::to_string(event) + "\ndata: token\n\n";
+  return out;
+}
+
+int RunsOf(const std::string& id) {
+  int runs = 0;
+  Deployment().OnStandIns([&] {
+    for (const auto& each : Deployment().replicas()) {
+      const auto found = each->runs().find(id);
+      runs += found == each->runs().end() ? 0 : found->second;
+    }
+  });
+  return runs;
+}
+
+// @return the replica that runs the request @p id, or null.
+stand_ins::native_replica* RunnerOf(const std::string& id) {
+  stand_ins::native_replica* runner = nullptr;
+  Deployment().OnStandIns([&] {
+    for (const auto& each : Deployment().replicas()) {
+      if (each->runs().contains(id))
+        runner = each.get();
+    }
+  });
+  return runner;
+}
+
+}  // namespace
+
+TEST_CASE("Each kind of request is served at every node") {
+  for (int node = 0; node < 3; ++node) {
+    const std::string tag = std::to_string(node);
+    CHECK(Deployment().Call(node, "/plan/x", "p" + tag, kLarge).body ==
+          WholeStream());
+    CHECK(Deployment().Call(node, "/plan/x", "q" + tag, kSmall).body ==
+          WholeStream());
+    const auto lock = Deployment().Call(node, "/lock/x", "l" + tag);
+    CHECK(lock.status == 200);
+    CHECK(lock.body.find(" for w1") != std::string::npos);
+    CHECK(RunsOf("l" + tag) == 1);
+    CHECK(Deployment().Call(node, "/check/x", "c" + tag).status == 200);
+  }
+}
+
+TEST_CASE("A stream whose head crashes is whole, and the group comes back") {
+  caller_answer answer;
+  std::thread caller([&] {
+    answer = Deployment().Call(0, "/plan/x", "crash", kSmall);
+  });
+  REQUIRE(Deployment().Await([] { return RunnerOf("crash") != nullptr; },
+                             milliseconds(3000)));
+  auto* head = RunnerOf("crash");
+  std::this_thread::sleep_for(milliseconds(60));
+  Deployment().OnStandIns([&] { head->Crash(); });
+  caller.join();
+  // One group of the small model serves, so the stream can't continue; it must
+  // not look whole. The model is back within seconds.
+  CHECK_FALSE(answer.body == WholeStream());
+  CHECK_FALSE((answer.status == 200 && answer.whole));
+  CHECK(Deployment().Await(
+      [&] {
+        return Deployment().Call(1, "/plan/x", "after", kSmall).body ==
+               WholeStream();
+      },
+      milliseconds(6000)));
+}
+
+TEST_CASE("Refusals say what is true") {
+  CHECK(Deployment().Call(0, "/nowhere/x", "r1").status == 404);
+  CHECK(Deployment()
+            .Call(0, "/lock/x", "r2", {{"Authorization", "Token wrong"}})
+            .status == 401);
+  Deployment().OnStandIns([] {
+    for (auto& each : Deployment().replicas())
+      each->shedding = true;
+  });
+  CHECK(Deployment().Call(0, "/lock/x", "r3").status == 503);
+  Deployment().OnStandIns([] {
+    for (auto& each : Deployment().replicas())
+      each->shedding = false;
+  });
+  CHECK(RunsOf("r1") + RunsOf("r2") + RunsOf("r3") == 0);
+}
+
+TEST_CASE("A changed configuration is in force at every node within 2 s") {
+  CHECK(Deployment().Call(2, "/extra/x", "e1").status == 404);
+  Deployment().Configure(5, true);
+  CHECK(Deployment().Await(
+      [] {
+        for (int node = 0; node < 3; ++node) {
+          if (Deployment().Call(node, "/extra/x", "e2").status != 200)
+            return false;
+        }
+        return true;
+      },
+      milliseconds(2000)));
+  // An older version never comes back into force.
+  Deployment().Configure(4, false);
+  std::this_thread::sleep_for(milliseconds(300));
+  CHECK(Deployment().Call(0, "/extra/x", "e3").status == 200);
+}
+
+TEST_CASE("Serving goes on while the store refuses every call") {
+  Deployment().OnStandIns([] { Deployment().store().refuse = true; });
+  std::this_thread::sleep_for(milliseconds(500));
+  for (int node = 0; node < 3; ++node)
+    CHECK(Deployment().Call(node, "/plan/x", "o" + std::to_string(node), kLarge)
+              .body == WholeStream());
+  Deployment().OnStandIns([] { Deployment().store().refuse = false; });
+}
+
+TEST_CASE("A replica that drains gets no new work within 2 s") {
+  stand_ins::native_replica* leaving = nullptr;
+  Deployment().OnStandIns([&] {
+    for (auto& each : Deployment().replicas()) {
+      if (each->id() == "a1")
+        leaving = each.get();
+    }
+    leaving->Drain();
+  });
+  std::this_thread::sleep_for(milliseconds(2000));
+  std::size_t before = 0;
+  Deployment().OnStandIns([&] { before = leaving->runs().size(); });
+  for (int i = 0; i < 12; ++i)
+    CHECK(Deployment().Call(i % 3, "/check/x", "d" + std::to_string(i)).status ==
+          200);
+  std::size_t after = 0;
+  Deployment().OnStandIns([&] { after = leaving->runs().size(); });
+  CHECK(after == before);
+}
+
+TEST_CASE("A node that stops completes its streams; the others take over") {
+  caller_answer answer;
+  std::thread caller([&] {
+    answer = Deployment().Call(2, "/plan/x", "stop", kLarge);
+  });
+  REQUIRE(Deployment().Await([] { return RunnerOf("stop") != nullptr; },
+                             milliseconds(3000)));
+  CHECK(Deployment().node(2).StopGracefully());
+  caller.join();
+  CHECK(answer.body == WholeStream());
+  CHECK(Deployment().Call(0, "/plan/x", "others", kLarge).body ==
+        WholeStream());
+}
+
+}  // namespace flamingoshunt::native
