Form lost groups anew without waiting for late reports

Cause: reports tell some 200 ms late, and the planner waited for one after the order to close and again after the order to open; a head that was only cut off from the store was closed at once although it came back within two seconds. Change: a cut close that was taken frees the members (they leave their group before they join another); a head serves when its time to open is over; a head that leaves or is unlisted rests for 1.5 s and serves on if it is listed again. Ruled out: joins without a report that all are ready (it could open a group whose member never was).

--- a/packages/daemon/entry_duty.cc
+++ b/packages/daemon/entry_duty.cc
@@ -30,7 +30,6 @@
                        const gateway::protocol& wire,
                        gateway::metrics& metrics)
     : options_(std::move(options)),
-      clock_(clock),
       thread_("entry"),
       entry_(thread_.loop(),
              clock,
--- a/packages/daemon/entry_duty.h
+++ b/packages/daemon/entry_duty.h
@@ -60,7 +60,6 @@
   void SetLimits(const gateway::caller_limits& limits);
 
   entry_duty_options options_;
-  const base::clock& clock_;
   duty::duty_thread thread_;
   gateway::entry entry_;
   std::unique_ptr<runtime::http_server> callers_;
--- a/packages/fleet/order.h
+++ b/packages/fleet/order.h
@@ -51,7 +51,7 @@
 using order_body =
     std::variant<join_group, open_group, close_group, leave_group, stage_model>;
 
-using order_id = base::number_id<struct order_tag>;
+using order_id = base::number_id<struct replica_order_tag>;
 
 struct order {
   order_id id;
--- a/packages/groups/planner.cc
+++ b/packages/groups/planner.cc
@@ -25,7 +25,9 @@
 constexpr milliseconds kOrderPatience{2000};
 // Requests of a closing group get so long to complete before they are cut and
 // continue elsewhere.
-constexpr milliseconds kFinishBound{2000};
+constexpr milliseconds kFinishBound{1500};
+// After the time that a head takes to open.
+constexpr milliseconds kOpenMargin{20};
 // A join whose model the replica had in its last group.
 constexpr milliseconds kRejoin{200};
 constexpr milliseconds kAskSoon{80};
@@ -318,11 +320,15 @@
     of->order_not_before = now;
   }
   const auto* close = std::get_if<fleet::close_group>(&order.body);
-  if (close && (accepted || result == fleet::order_result::kUnfit))
+  if (close && (accepted || result == fleet::order_result::kUnfit)) {
     of->ordered_close = close->epoch;
+    of->closed_by = close->mode;
+  }
   const auto* open = std::get_if<fleet::open_group>(&order.body);
   if (open)
     of->opened_at = now;
+  if (open && accepted)
+    of->ordered_open = open->epoch;
   if (open && result == fleet::order_result::kUnfit) {
     const auto found = groups_.find(open->group);
     if (found != groups_.end() && found->second.epoch == open->epoch &&
@@ -394,7 +400,11 @@
     }
   }
   member* head = Find(of.head());
-  if (head->facts.engine.member->state == fleet::member_state::kOpen) {
+  // A report tells late; the head serves when its time to open is over.
+  const bool open_taken = head->ordered_open == of.epoch &&
+                          now >= head->opened_at + layout_->form + kOpenMargin;
+  if (open_taken ||
+      head->facts.engine.member->state == fleet::member_state::kOpen) {
     Change(of, group_phase::kServing, now);
     return;
   }
@@ -418,22 +428,45 @@
     leaving += each->facts.leaving || each->gone ? 1 : 0;
   }
   const member& head = *Find(of.head());
-  if (head.facts.engine.member->state == fleet::member_state::kBroken) {
+  const auto state = head.facts.engine.member->state;
+  if (state == fleet::member_state::kBroken) {
     Close(of, fleet::close_mode::kCut, "broken", now);
     return;
   }
+  // The order to open had no effect after all.
+  const bool reported = head.reported_at > of.since + kOrderPatience;
+  if (state == fleet::member_state::kReady && reported) {
+    Change(of, group_phase::kForming, now, "not_open");
+    return;
+  }
+  if (!HeadRests(of))
+    of.rests_since.reset();
   if (leaving == 0)
     return;
-  // A leaving head takes nothing new. A leaving member stays while its head has
-  // work: its group serves on until it can be whole again at once, and groups
-  // take turns, so that many that leave together don't end all service.
-  const bool head_leaves = head.facts.leaving || head.gone;
+  // A head that leaves or is not listed takes nothing new; what runs there gets
+  // time to complete, and one that was only cut off from the platform may be
+  // listed again.
+  if (HeadRests(of)) {
+    if (!of.rests_since)
+      of.rests_since = now;
+    if (now - *of.rests_since > kFinishBound)
+      Close(of, fleet::close_mode::kCut, "head_leaving", now);
+    return;
+  }
+  // A leaving member stays while its head has work: its group serves on until it
+  // can be whole again at once, and groups take turns, so that many that leave
+  // together don't end all service.
   const bool turn = WarmIn(head.facts.engine.fabric_domain, of.model) >= leaving &&
                     ClosingForOthers(of.model) < kPlannedAtOnce;
-  if (head_leaves || turn)
+  if (turn)
     Close(of, fleet::close_mode::kFinish, kLeavingReason, now);
 }
 
+bool planner::HeadRests(const group& of) const {
+  const member* head = Find(of.head());
+  return !head || head->facts.leaving || head->gone;
+}
+
 // @return the free replicas of @p domain that need no load for @p model.
 std::size_t planner::WarmIn(const base::fabric_domain_id& domain,
                             const std::string& model) const {
@@ -468,7 +501,11 @@
   // moment. Its members leave it before they join elsewhere.
   if (head->lost)
     return head->refused || now >= *head->lost_at + kLostHead;
+  // Its members leave the group before they join another, so a head that takes
+  // no more requests needs no further look.
   const bool told = head->ordered_close == of.epoch;
+  if (told && head->closed_by == fleet::close_mode::kCut)
+    return true;
   const bool reported_since = head->reported_at > of.since;
   if (reported_since || head->facts.engine.started_ms > of.head_started_ms) {
     if (!IsIn(*head, of))
@@ -718,7 +755,7 @@
 void planner::UpdateStatement() {
   std::vector<fleet::serving_group> serving;
   for (const auto& [name, each] : groups_) {
-    if (each.phase == group_phase::kServing)
+    if (each.phase == group_phase::kServing && !HeadRests(each))
       serving.push_back({each.name, each.epoch, each.model, each.head()});
   }
   if (serving == statement_.groups && statement_.edition != 0)
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -45,6 +45,7 @@
   fleet::close_mode close = fleet::close_mode::kCut;
   std::string reason;                 ///< Of the last change.
   std::uint64_t head_started_ms = 0;  ///< Start of the head's process.
+  std::optional<base::time_point> rests_since;  ///< Its head takes nothing new.
   const base::instance_id& head() const { return members.front(); }
 };
 
@@ -131,6 +132,8 @@
     base::epoch ordered_epoch;
     base::time_point ordered_at{};
     base::epoch ordered_close;  ///< Epoch of the last close taken.
+    base::epoch ordered_open;         ///< Epoch of the last open taken.
+    fleet::close_mode closed_by = fleet::close_mode::kFinish;
     base::epoch left;  ///< Epoch of the last group it was told to leave.
     base::time_point opened_at{};  ///< Last answer to an open.
     bool question_due = false;
@@ -180,6 +183,7 @@
                      const std::string& model) const;
   std::size_t LeavingIn(const base::fabric_domain_id& domain,
                         const std::string& model) const;
+  bool HeadRests(const group& of) const;
   int ClosingForOthers(const std::string& model) const;
   int LoadsUnderWay(base::time_point now) const;
   bool MayLoad(int count, base::time_point now);
