Wake the entry thread less often

Change: loads are taken when the next request is placed, silences are checked when the first is due, event reads have no timer of their own, and the scheduler looks at the sockets every fourth round of ready fibers.

--- a/packages/daemon/entry_duty.cc
+++ b/packages/daemon/entry_duty.cc
@@ -39,7 +39,8 @@
              [this](gateway::entry_news news) {
                if (news_)
                  news_->Send(std::move(news));
-             }),
+             },
+             [this] { updates_.TakePending(); }),
       updates_(kRingUpdates,
                thread_.loop(),
                [this](gateway::fleet_update&& update) { TakeUpdate(update); }) {
@@ -72,6 +73,7 @@
   bool told_requests = false;
   while (true) {
     boost::this_fiber::sleep_for(kTellPeriod);
+    updates_.TakePending();
     gateway::entry_news news = entry_.TakeNews();
     const bool changed =
         !(news.loads == told) || news.seen_requests != told_requests ||
--- a/packages/daemon/fleet_duty.cc
+++ b/packages/daemon/fleet_duty.cc
@@ -399,7 +399,11 @@
   update.heard_of = news.heard_of;
   update.loads = peers_.TakeChangedLoads(now, Silence());
   if (news.partial) {
-    updates_->Send(std::move(update));
+    // Loads matter when the next request is placed; questions can't wait.
+    if (update.questions.empty() && update.heard_of.empty())
+      updates_->SendQuietly(std::move(update));
+    else
+      updates_->Send(std::move(update));
     return;
   }
   for (const base::instance_id& each : news.suspects) {
@@ -412,7 +416,10 @@
       of->planner.Suspected(each, now);
   }
   update.crashes = news.crashes;
-  updates_->Send(std::move(update));
+  if (update.suspects.empty() && update.crashes.empty())
+    updates_->SendQuietly(std::move(update));
+  else
+    updates_->Send(std::move(update));
   for (const auto& [service, statement] : news.statements) {
     if (told_[service] == statement)
       continue;
--- a/packages/duty/channel.h
+++ b/packages/duty/channel.h
@@ -48,6 +48,24 @@
     return true;
   }
 
+  /// As TryPush, but lets the consumer sleep: it finds the message when it next
+  /// wakes for another one or calls TakePending().
+  bool TryPushQuietly(Message& message) {
+    if (ring_.write_available() == 0)
+      return false;
+    ring_.push(new Message(std::move(message)));
+    return true;
+  }
+
+  /// Called by the consumer thread only: receives what is waiting now.
+  void TakePending() {
+    Message* next = nullptr;
+    while (ring_.pop(next)) {
+      const std::unique_ptr<Message> message(next);
+      receive_(std::move(*message));
+    }
+  }
+
   /// Messages waiting; exact on the consumer thread only.
   std::size_t size() const { return ring_.read_available(); }
 
--- a/packages/duty/outbox.h
+++ b/packages/duty/outbox.h
@@ -41,6 +41,13 @@
       RetryLater();
   }
 
+  /// Sends what the consumer needs only when it next decides something; it may
+  /// overtake nothing that waits.
+  void SendQuietly(Message message) {
+    if (!waiting_.empty() || !ring_.TryPushQuietly(message))
+      Send(std::move(message));
+  }
+
   std::size_t waiting() const { return waiting_.size(); }
 
  private:
--- a/packages/gateway/entry.cc
+++ b/packages/gateway/entry.cc
@@ -16,7 +16,8 @@
 // A full head refuses many; telling once in a while is enough.
 constexpr milliseconds kRefusalPeriod{500};
 // How often the streams are looked at for silences.
-constexpr milliseconds kSilenceCheck{20};
+constexpr milliseconds kShortestCheck{15};
+constexpr milliseconds kLongestCheck{60};
 // A replica heard of within this goes on, however short the asker's silence.
 constexpr milliseconds kShortestWithin{50};
 
@@ -27,12 +28,14 @@
              const protocol& wire,
              metrics& counted,
              std::uint64_t seed,
-             std::function<void(entry_news)> tell)
+             std::function<void(entry_news)> tell,
+             std::function<void()> catch_up)
     : loop_(loop),
       clock_(clock),
       wire_(wire),
       metrics_(counted),
       tell_(std::move(tell)),
+      catch_up_(std::move(catch_up)),
       random_(seed),
       dispatcher_(base::random_engine(seed)),
       pool_(loop),
@@ -99,6 +102,8 @@
 }
 
 entry::place entry::WaitForPlace(ask request, runtime::fiber_signal& signal) {
+  if (catch_up_)
+    catch_up_();
   const ticket_id ticket = request.ticket;
   waiting_[ticket].signal = &signal;
   Apply(dispatcher_.Ask(std::move(request), Now()));
@@ -152,9 +157,11 @@
   const auto now = Now();
   if (now < next_check_)
     return;
-  next_check_ = now + kSilenceCheck;
+  // A stream that began since the last look is due later than this.
+  base::time_point next = now + kLongestCheck;
   for (session* each : sessions_)
-    each->CheckSilence();
+    next = std::min(next, each->CheckSilence());
+  next_check_ = std::max<base::time_point>(next, now + kShortestCheck);
 }
 
 void entry::AskPeers(const base::instance_id& replica, base::duration silence) {
--- a/packages/gateway/entry.h
+++ b/packages/gateway/entry.h
@@ -66,12 +66,15 @@
 class entry {
  public:
   /// @param tell called on this thread with news; @c urgent ones at once.
+  /// @param catch_up called before a decision on loads, to take what the control
+  ///        thread told meanwhile.
   entry(boost::asio::io_context& loop,
         const base::clock& clock,
         const protocol& wire,
         metrics& counted,
         std::uint64_t seed,
-        std::function<void(entry_news)> tell);
+        std::function<void(entry_news)> tell,
+        std::function<void()> catch_up = {});
   ~entry();
 
   /// Serves one request; runs in the fiber of its connection.
@@ -117,6 +120,7 @@
   const protocol& wire_;
   metrics& metrics_;
   std::function<void(entry_news)> tell_;
+  std::function<void()> catch_up_;
   base::random_engine random_;
   fleet_view_ptr view_;
   base::time_point view_at_{};
--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -332,24 +332,32 @@
                 : host_.stalls_.FirstEventBound(Pool(), expected_.first_event);
 }
 
-void session::CheckSilence() {
+base::time_point session::CheckSilence() {
+  const auto now = host_.Now();
   if (!at_ || !upstream_ || !route_->stream || suspected_)
-    return;
-  const base::duration silence = host_.Now() - last_heard_;
+    return base::time_point::max();
+  if (now >= give_up_at_) {
+    upstream_->Close();
+    return base::time_point::max();
+  }
+  const base::duration silence = now - last_heard_;
   const base::duration bound = SilenceBound();
-  if (silence <= bound || !OthersCouldTakeOver())
-    return;
-  switch (host_.stalls_.Judge(*at_, bound, host_.Now())) {
+  if (silence <= bound)
+    return std::min(last_heard_ + bound, give_up_at_);
+  if (!OthersCouldTakeOver())
+    return give_up_at_;
+  switch (host_.stalls_.Judge(*at_, bound, now)) {
     case silence_verdict::kWait:
-      return;
+      break;
     case silence_verdict::kAsk:
       host_.AskPeers(*at_, silence);
-      return;
+      break;
     case silence_verdict::kStalled:
       host_.ReportStall(*at_, silence);
       MoveOn();
-      return;
+      break;
   }
+  return now;
 }
 
 // Ends the current attempt as stalled.
@@ -398,8 +406,8 @@
   const base::instance_id& replica = granted.place.instance;
   const bool resumed = started_;
   std::string bytes;
-  while (upstream_->ReadSome(
-      bytes, std::max<base::duration>(Left(), milliseconds(1)))) {
+  // CheckSilence ends the reading when the time is over.
+  while (upstream_->ReadSome(bytes, runtime::kNoTimeout)) {
     const std::string out = events_.Feed(bytes);
     bytes.clear();
     if (out.empty()) {
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -22,8 +22,9 @@
   /// Returns when the caller has its answer or is gone.
   void Run();
 
-  /// Looks whether the replica of a stream stands still.
-  void CheckSilence();
+  /// Looks whether the replica of a stream stands still, or its time is over.
+  /// @return when to look again.
+  base::time_point CheckSilence();
 
   /// Another node saw @p replica stand still.
   void PeerSuspects(const base::instance_id& replica);
--- a/packages/runtime/fiber_scheduler.cc
+++ b/packages/runtime/fiber_scheduler.cc
@@ -14,6 +14,9 @@
 // Exceptions, JSON parsing to its depth bound and Beast's parsers fit with
 // room to spare, also under the sanitizers' larger frames.
 constexpr std::size_t kStackBytes = 128 * 1024;
+// Rounds of ready fibers after which the sockets are looked at; each look is a
+// system call.
+constexpr unsigned kRoundsPerPoll = 4;
 
 boost::fibers::pooled_fixedsize_stack& StackPool() {
   thread_local boost::fibers::pooled_fixedsize_stack pool(kStackBytes);
@@ -30,8 +33,11 @@
   // A suspending fiber calls this with library locks held; running handlers
   // there would deadlock. The dispatcher holds none, and its turn comes once
   // in every round of the queue.
+  // With nothing ready the thread is about to wait in the loop anyway.
   const auto* active = boost::fibers::context::active();
-  if (active->is_context(boost::fibers::type::dispatcher_context))
+  if (!ready_.empty() &&
+      active->is_context(boost::fibers::type::dispatcher_context) &&
+      ++rounds_ % kRoundsPerPoll == 0)
     loop_.poll();
   if (ready_.empty())
     return nullptr;
--- a/packages/runtime/fiber_scheduler.h
+++ b/packages/runtime/fiber_scheduler.h
@@ -31,6 +31,7 @@
  private:
   boost::asio::io_context& loop_;
   boost::fibers::scheduler::ready_queue_type ready_;
+  unsigned rounds_ = 0;
 };
 
 /// Runs a thread's fibers until the loop is stopped: installs the scheduler,
--- a/packages/runtime/http_client.cc
+++ b/packages/runtime/http_client.cc
@@ -150,7 +150,10 @@
     auto& body = parser_->get().body();
     body.data = bytes.data();
     body.size = bytes.size();
-    stream_.expires_after(timeout);
+    if (timeout == kNoTimeout)
+      stream_.expires_never();
+    else
+      stream_.expires_after(timeout);
     const io_result read = AwaitIo([&](auto done) {
       http::async_read_some(stream_, buffer_, *parser_, std::move(done));
     });
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -45,6 +45,7 @@
   http_response_head ReadHead(base::duration timeout);
 
   /// Appends what has arrived of the body to @p out, at least one byte.
+  /// @param timeout kNoTimeout for none.
   /// @return false at the end of a complete body. @throws transport_error, also
   /// when the connection ends before the body is complete.
   bool ReadSome(std::string& out, base::duration timeout);
--- a/packages/runtime/tcp.h
+++ b/packages/runtime/tcp.h
@@ -22,6 +22,9 @@
 using tcp_stream =
     boost::beast::basic_stream<tcp, boost::asio::io_context::executor_type>;
 
+/// Of a step that its caller ends by closing the connection.
+inline constexpr base::duration kNoTimeout = base::duration::zero();
+
 /// What went wrong with a connection.
 enum class transport_failure {
   kConnect,
