Take the list's heartbeat count for what it is; send unanswered closes again

A close without an answer was not sent again (log: closing 15.93 s, dissolved 19.66 s). Ruled out: restarts (no entry had a later start), a second acting node.

--- a/packages/daemon/entry_duty.cc
+++ b/packages/daemon/entry_duty.cc
@@ -31,16 +31,17 @@
                        gateway::metrics& metrics)
     : options_(std::move(options)),
       thread_("entry"),
-      entry_(thread_.loop(),
-             clock,
-             wire,
-             metrics,
-             options_.seed,
-             [this](gateway::entry_news news) {
-               if (news_)
-                 news_->Send(std::move(news));
-             },
-             [this] { updates_.TakePending(); }),
+      entry_(
+          thread_.loop(),
+          clock,
+          wire,
+          metrics,
+          options_.seed,
+          [this](gateway::entry_news news) {
+            if (news_)
+              news_->Send(std::move(news));
+          },
+          [this] { updates_.TakePending(); }),
       updates_(kRingUpdates,
                thread_.loop(),
                [this](gateway::fleet_update&& update) { TakeUpdate(update); }) {
--- a/packages/fleet/replica.h
+++ b/packages/fleet/replica.h
@@ -29,7 +29,6 @@
 /// The part that changes with orders; told in the list and in reports.
 struct engine_state {
   std::uint64_t started_ms = 0;  ///< Unix time of this start of the process.
-  std::uint64_t orders = 0;      ///< Orders that began since the start.
   base::fabric_domain_id fabric_domain;
   std::vector<std::string> staged;  ///< Models on its host.
   std::string model;                ///< Of its last group since the start.
--- a/packages/gateway/dispatcher.cc
+++ b/packages/gateway/dispatcher.cc
@@ -323,8 +323,8 @@
   }
   const double most = static_cast<double>(pace->read_chunk) *
                       static_cast<double>(pace->steps_per_pass);
-  const double unread = std::min(
-      most, static_cast<double>(LoadOf(replica).unread));
+  const double unread =
+      std::min(most, static_cast<double>(LoadOf(replica).unread));
   return FromMs(factor * unread / pace->read_tokens_per_ms);
 }
 
--- a/packages/gateway/dispatcher.h
+++ b/packages/gateway/dispatcher.h
@@ -100,7 +100,8 @@
                       const std::vector<base::instance_id>& avoid,
                       base::time_point now) const;
 
-  /// @return the time that @p replica takes to read the prompts that wait there,
+  /// @return the time that @p replica takes to read the prompts that wait
+  /// there,
   ///         as far as one pass reads them.
   base::duration ReadingTime(const std::string& service,
                              const base::instance_id& replica) const;
--- a/packages/gateway/entry.h
+++ b/packages/gateway/entry.h
@@ -66,7 +66,8 @@
 class entry {
  public:
   /// @param tell called on this thread with news; @c urgent ones at once.
-  /// @param catch_up called before a decision on loads, to take what the control
+  /// @param catch_up called before a decision on loads, to take what the
+  /// control
   ///        thread told meanwhile.
   entry(boost::asio::io_context& loop,
         const base::clock& clock,
--- a/packages/groups/planner.cc
+++ b/packages/groups/planner.cc
@@ -58,6 +58,10 @@
 constexpr char kLeavingReason[] = "member_leaving";
 constexpr double kSlow = 1.5;  // A slower replica is taken last.
 
+base::epoch EpochOf(const fleet::engine_state& state) {
+  return state.member ? state.member->epoch : base::epoch();
+}
+
 }  // namespace
 
 const char* NameOf(group_phase phase) {
@@ -121,14 +125,19 @@
     of.question_due = !adopted_ && term_ != 0;
     return;
   }
-  const bool restarted = replica.engine.started_ms > known.started_ms;
-  const bool behind = replica.engine.started_ms < known.started_ms ||
-                      replica.engine.orders < known.orders;
+  if (replica.engine.started_ms > known.started_ms) {
+    ForgetOrders(of);
+    return;
+  }
+  // The list tells late, after an outage very late. Epochs only rise, so an
+  // earlier one is history; the replica itself is asked what holds.
+  const base::epoch listed = EpochOf(replica.engine);
+  const bool history =
+      replica.engine.started_ms < known.started_ms || listed < EpochOf(known);
   const bool report_is_fresher = now - of.reported_at < kListLag;
-  if (!restarted && (behind || report_is_fresher))
+  if (history || (listed == EpochOf(known) && report_is_fresher))
     of.facts.engine = known;
-  if (restarted)
-    ForgetOrders(of);
+  of.question_due = of.question_due || (history && !report_is_fresher);
 }
 
 void planner::ForgetOrders(member& of) {
@@ -453,11 +462,12 @@
       Close(of, fleet::close_mode::kCut, "head_leaving", now);
     return;
   }
-  // A leaving member stays while its head has work: its group serves on until it
-  // can be whole again at once, and groups take turns, so that many that leave
-  // together don't end all service.
-  const bool turn = WarmIn(head.facts.engine.fabric_domain, of.model) >= leaving &&
-                    ClosingForOthers(of.model) < kPlannedAtOnce;
+  // A leaving member stays while its head has work: its group serves on until
+  // it can be whole again at once, and groups take turns, so that many that
+  // leave together don't end all service.
+  const bool turn =
+      WarmIn(head.facts.engine.fabric_domain, of.model) >= leaving &&
+      ClosingForOthers(of.model) < kPlannedAtOnce;
   if (turn)
     Close(of, fleet::close_mode::kFinish, kLeavingReason, now);
 }
@@ -481,8 +491,8 @@
 int planner::ClosingForOthers(const std::string& model) const {
   int count = 0;
   for (const auto& [name, each] : groups_) {
-    const bool closing = each.phase == group_phase::kClosing &&
-                         each.reason == kLeavingReason;
+    const bool closing =
+        each.phase == group_phase::kClosing && each.reason == kLeavingReason;
     const bool forming = each.phase == group_phase::kForming ||
                          each.phase == group_phase::kOpening;
     count += each.model == model && (closing || forming) ? 1 : 0;
@@ -513,16 +523,16 @@
     const auto state = head->facts.engine.member->state;
     // An order to open shows only when it is done.
     const bool opening = head->reported_at < head->opened_at + layout_->form;
-    return state == fleet::member_state::kBroken ||
-           (state == fleet::member_state::kReady && told && !opening);
+    if (state == fleet::member_state::kBroken ||
+        (state == fleet::member_state::kReady && told && !opening))
+      return true;
   }
   if (of.close == fleet::close_mode::kFinish && now - of.since > kFinishBound) {
     of.close = fleet::close_mode::kCut;
     head->order_not_before = now;
   }
-  if (!head->order_pending && now >= head->order_not_before) {
+  if (!head->order_pending && now >= head->order_not_before)
     Send(*head, fleet::close_group{of.name, of.epoch, of.close}, out);
-  }
   return false;
 }
 
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -132,7 +132,7 @@
     base::epoch ordered_epoch;
     base::time_point ordered_at{};
     base::epoch ordered_close;  ///< Epoch of the last close taken.
-    base::epoch ordered_open;         ///< Epoch of the last open taken.
+    base::epoch ordered_open;   ///< Epoch of the last open taken.
     fleet::close_mode closed_by = fleet::close_mode::kFinish;
     base::epoch left;  ///< Epoch of the last group it was told to leave.
     base::time_point opened_at{};  ///< Last answer to an open.
--- a/packages/groups/tests/correctness/a_lost_member_is_replaced.cc
+++ b/packages/groups/tests/correctness/a_lost_member_is_replaced.cc
@@ -102,3 +102,22 @@
 }
 
 }  // namespace flamingoshunt::groups::testing
+
+namespace flamingoshunt::groups::testing {
+
+TEST_CASE("An order to close that gets no answer is sent again") {
+  fake_replicas replicas(1, 11);
+  planner acting = MakePlanner(replicas);
+  replicas.Run(acting, milliseconds(6000));
+  const group before = GroupOf(acting, "large");
+  replicas.At(before.members.back()).dead = true;
+  replicas.late_share = 1;
+  acting.Suspected(before.head(), replicas.now());
+  replicas.Run(acting, milliseconds(200));
+  replicas.late_share = 0;
+  // Well before the first order is carried out late.
+  replicas.Run(acting, milliseconds(600));
+  CHECK(acting.groups().find(before.name) == acting.groups().end());
+}
+
+}  // namespace flamingoshunt::groups::testing
--- a/stand_ins/native/native_replica.h
+++ b/stand_ins/native/native_replica.h
@@ -45,7 +45,7 @@
 
   /// How often each request ran here, by its id.
   const std::map<std::string, int>& runs() const { return runs_; }
-  bool stalled = false;  ///< Streams stop producing events.
+  bool stalled = false;   ///< Streams stop producing events.
   bool shedding = false;  ///< Refuses requests as not run.
 
  private:
