Move a stream only when its pause is beyond its aim anyway

Change: past its bound a silence is told, so that the acting node looks and nothing more is placed there; the stream itself moves when its pause has passed the aim. Test: a pause of 210 ms under an aim of 250 ms keeps its replica.

--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -221,6 +221,7 @@
   at_ = granted.place.instance;
   suspected_ = false;
   begun_ = false;
+  reported_ = false;
   expected_ = granted.expected;
   events_ = event_splitter(events_.last_id());
   last_heard_ = host_.Now();
@@ -353,13 +354,21 @@
       host_.AskPeers(*at_, silence);
       break;
     case silence_verdict::kStalled:
-      host_.ReportStall(*at_, silence);
-      MoveOn();
+      if (!std::exchange(reported_, true))
+        host_.ReportStall(*at_, silence);
+      if (MovingHelps(silence))
+        MoveOn();
       break;
   }
   return now;
 }
 
+// A stream that goes elsewhere has a pause beyond its aim. Until the silence is
+// as long as that, the replica may still come back in time.
+bool session::MovingHelps(base::duration silence) const {
+  return !begun_ || silence > route_->pause_aim;
+}
+
 // Ends the current attempt as stalled.
 void session::MoveOn() {
   suspected_ = true;
@@ -431,6 +440,7 @@
     }
     host_.HeardFrom(replica);
     begun_ = true;
+    reported_ = false;
     last_heard_ = now;
     last_event_ = now;
     if (!started_) {
@@ -595,7 +605,7 @@
   if (!at_ || *at_ != replica || !upstream_ || !route_->stream || suspected_)
     return;
   const base::duration silent = host_.Now() - last_heard_;
-  if (silent > SilenceBound() && OthersCouldTakeOver())
+  if (silent > SilenceBound() && MovingHelps(silent) && OthersCouldTakeOver())
     MoveOn();
 }
 
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -68,6 +68,7 @@
   base::duration Left() const;
   base::duration AnswerBound() const;
   base::duration SilenceBound() const;
+  bool MovingHelps(base::duration silence) const;
   void MoveOn();
   bool OthersCouldTakeOver() const;
   std::string Pool() const;
@@ -90,6 +91,7 @@
   std::optional<base::instance_id> at_;  ///< Where the current attempt runs.
   bool suspected_ = false;  ///< The replica of this attempt stands still.
   bool begun_ = false;      ///< This attempt had an event.
+  bool reported_ = false;   ///< Its silence was told since the last event.
   work_estimate expected_;  ///< Of this attempt.
   base::time_point last_heard_;
   base::duration first_event_{};
--- a/packages/gateway/tests/correctness/streams_continue_elsewhere.cc
+++ b/packages/gateway/tests/correctness/streams_continue_elsewhere.cc
@@ -124,3 +124,25 @@
 }
 
 }  // namespace flamingoshunt::gateway::testing
+
+namespace flamingoshunt::gateway::testing {
+
+// Load pattern: long prompts hold up one pass for longer than usual.
+TEST_CASE("A stream stays where it is while its pause can still be on time") {
+  gateway_harness([](gateway_harness& test) {
+    const auto count = std::make_shared<int>(0);
+    const auto script = [count](runtime::http_exchange& exchange) {
+      ++*count;
+      StreamEvents(exchange, 4, 4);
+      boost::this_fiber::sleep_for(milliseconds(210));
+      exchange.Write("id: 5\ndata: x\n\n");
+      exchange.EndStream();
+    };
+    test.Serve({}, {Engine(test, "a", script), Engine(test, "b", script)});
+    const auto answer = test.Call("/stream/x", kModel);
+    CHECK(answer.body == AllEvents(5));
+    CHECK(*count == 1);
+  });
+}
+
+}  // namespace flamingoshunt::gateway::testing
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -171,6 +171,7 @@
     stream.resumable = true;
     stream.targets = {{"llm", 1}};
     stream.timeout = milliseconds(3000);
+    stream.pause_aim = milliseconds(250);
     service app;
     app.name = "app";
     service llm;
