--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -52,6 +52,9 @@
   void BeginStop();
 
  private:
+  /// Time for the first datagrams before anybody decides who acts.
+  static constexpr std::chrono::milliseconds kGather{500};
+
   struct acting_service {
     acting_service(const base::node_id& self,
                    std::uint64_t incarnation,
--- /dev/null
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -0,0 +1,198 @@
+// How a node acts for the groups of a service: steps, orders and questions.
+#include <algorithm>
+#include <utility>
+
+#include "daemon/fleet_duty.h"
+#include "runtime/fiber_scheduler.h"
+#include "telemetry/log.h"
+
+namespace flamingoshunt::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kIdleStep{200};
+// A living replica answers within a few network delays; the bound leaves room
+// for one lost packet.
+constexpr milliseconds kReportBound{170};
+constexpr milliseconds kOrderBound{1000};
+
+}  // namespace
+
+void fleet_duty::Step() {
+  const auto now = clock_.Now();
+  const auto failed = platform_duty_->last_failure();
+  if (failed != last_failure_ && failed != base::time_point::min()) {
+    last_failure_ = failed;
+    replicas_.NotePlatformFailure();
+  }
+  for (const base::instance_id& id : replicas_.Expire(now)) {
+    telemetry::LogChange("fleet", "replica_not_back", {{"instance", id.str()}});
+    for (auto& [name, of] : services_)
+      of->planner.Gone(id);
+    view_due_ = true;
+  }
+  Register();
+  const bool may_load_freely = settings_.gateway->first_start &&
+                               !seen_requests_ && !peers_.AnySeenRequests();
+  for (auto& [name, of] : services_) {
+    if (!may_load_freely)
+      of->planner.RequestsBegan();
+    StepService(name, *of);
+  }
+  const auto live = peers_.Live(now, Silence()).size() + 1;
+  if (live != live_nodes_) {
+    live_nodes_ = live;
+    view_due_ = true;
+  }
+  if (now >= next_news_)
+    TellPeers();
+  if (view_due_)
+    Publish();
+  base::time_point next = std::min(now + kIdleStep, next_news_);
+  if (const auto due = replicas_.NextTimer())
+    next = std::min(next, *due);
+  for (const auto& [name, of] : services_) {
+    if (of->acting)
+      next = std::min(next, of->planner.NextTimer(now));
+  }
+  timer_.Arm(next);
+}
+
+void fleet_duty::StepService(const std::string& name, acting_service& of) {
+  const auto now = clock_.Now();
+  if (fleet_listed_)
+    of.term.Listed();
+  if (now >= gather_until_ && StoreReachable()) {
+    auto able = peers_.AbleToAct(now, Silence());
+    able.push_back(self_);
+    if (auto write = of.term.Tick(able, now)) {
+      pending_call purpose;
+      purpose.service = name;
+      Submit(std::move(*write), std::move(purpose));
+    }
+  }
+  if (of.term.acting() != of.acting) {
+    of.acting = of.term.acting();
+    telemetry::LogChange("groups", of.acting ? "acting" : "not_acting",
+                         {{"service", name},
+                          {"term", of.term.term()},
+                          {"actor", of.term.actor().str()}});
+  }
+  if (!of.acting)
+    return;
+  if (of.begun_term != of.term.term()) {
+    of.begun_term = of.term.term();
+    of.planner.BeginTerm(of.begun_term, now);
+  }
+  const auto before = of.planner.statement().edition;
+  const groups::plan plan = of.planner.Tick(now);
+  LogChanges(name, of);
+  if (of.planner.statement().edition != before) {
+    groups_serving_.Set(
+        static_cast<std::int64_t>(of.planner.statement().groups.size()));
+    TellPeers();
+    view_due_ = true;
+  }
+  Carry(name, plan);
+}
+
+void fleet_duty::LogChanges(const std::string& name, acting_service& of) {
+  for (const groups::group_change& change : of.planner.TakeChanges()) {
+    if (change.what.phase == groups::group_phase::kClosing &&
+        change.event == "closing")
+      groups_closed_.Add();
+    telemetry::LogChange("groups", "group_" + change.event,
+                         {{"service", name},
+                          {"group", change.what.name},
+                          {"epoch", change.what.epoch.value()},
+                          {"model", change.what.model},
+                          {"head", change.what.head().str()},
+                          {"reason", change.what.reason},
+                          {"term", of.begun_term}});
+  }
+}
+
+void fleet_duty::Carry(const std::string& name, const groups::plan& plan) {
+  for (const fleet::order& order : plan.orders)
+    runtime::SpawnFiber([this, name, order] { SendOrder(name, order); });
+  for (const groups::question& each : plan.questions)
+    runtime::SpawnFiber([this, name, each] { AskReport(name, each); });
+}
+
+// One exchange on an idle connection or a fresh one, never repeated here.
+runtime::http_reply fleet_duty::ExchangeOnce(const std::string& address,
+                                             runtime::http_request request,
+                                             base::duration timeout) {
+  auto connection = pool_.TakeIdle(address);
+  if (!connection)
+    connection = pool_.Open(address, timeout);
+  try {
+    runtime::http_reply reply;
+    connection->Send(request, timeout);
+    reply.head = connection->ReadHead(timeout);
+    while (connection->ReadSome(reply.body, timeout)) {
+    }
+    pool_.Return(std::move(connection));
+    return reply;
+  } catch (const runtime::transport_error&) {
+    pool_.Forget(address);
+    throw;
+  }
+}
+
+void fleet_duty::SendOrder(const std::string& service,
+                           const fleet::order& order) {
+  orders_sent_.Add();
+  auto result = fleet::order_result::kNoAnswer;
+  try {
+    const auto reply =
+        ExchangeOnce(order.address, wire_.WriteOrder(order), kOrderBound);
+    result = wire_.ReadOrderResult(reply.head.status);
+  } catch (const runtime::transport_error&) {
+    // Told to the planner as an order that may be carried out later.
+  } catch (const base::user_error&) {
+    // The listed address is none.
+    result = fleet::order_result::kRefused;
+  }
+  telemetry::LogChange("groups", "order",
+                       {{"instance", order.to.str()},
+                        {"order", fleet::NameOf(order.body)},
+                        {"fence", order.fence},
+                        {"result", fleet::NameOf(result)}});
+  acting_service& of = *services_.at(service);
+  if (of.begun_term != order.term)
+    return;
+  of.planner.Settled(order, result, clock_.Now());
+  if (result == fleet::order_result::kFenced)
+    of.term.Fenced(clock_.Now());
+  Step();
+}
+
+void fleet_duty::AskReport(const std::string& service,
+                           const groups::question& question) {
+  const base::instance_id& id = question.to;
+  acting_service& of = *services_.at(service);
+  std::optional<fleet::engine_state> state;
+  bool refused = false;
+  reports_asked_.Add();
+  try {
+    const auto reply = ExchangeOnce(
+        question.address, wire_.AskReport(question.address), kReportBound);
+    state = wire_.ReadReport(reply.body);
+  } catch (const runtime::transport_error& error) {
+    refused = error.failure() == runtime::transport_failure::kRefused;
+  } catch (const base::user_error&) {
+    refused = true;  // The listed address is none.
+  }
+  if (state) {
+    of.planner.Reported(id, *state, clock_.Now());
+  } else {
+    telemetry::LogChange("groups", "no_report",
+                         {{"instance", id.str()}, {"refused", refused}});
+    of.planner.Unreachable(id, refused, clock_.Now());
+  }
+  Step();
+}
+
+}  // namespace flamingoshunt::daemon
--- /dev/null
+++ b/packages/daemon/fleet_duty_peers.cc
@@ -0,0 +1,209 @@
+// How nodes tell each other their news.
+#include <algorithm>
+#include <utility>
+
+#include "daemon/fleet_duty.h"
+#include "runtime/fiber_scheduler.h"
+#include "telemetry/log.h"
+
+namespace flamingoshunt::daemon {
+namespace {
+
+using boost::asio::ip::udp;
+using std::chrono::milliseconds;
+
+// Nodes tell their news this often for each node of the fleet, so that a node's
+// part in it stays the same at any size.
+constexpr milliseconds kNewsPerNode{10};
+constexpr milliseconds kShortestNews{250};
+constexpr milliseconds kLongestNews{1000};
+// A peer counts as silent after so many of its periods, but not before the
+// table's own bound.
+constexpr int kSilentPeriods = 5;
+// News of a suspicion are repeated for so long, since datagrams get lost.
+constexpr milliseconds kSuspicionRepeat{400};
+constexpr milliseconds kConfigurationRetry{500};
+// An acting node that doesn't reach the store learns nothing of new and leaving
+// replicas; after this another one may act. Shorter troubles are waited out.
+constexpr milliseconds kStoreGrace{1500};
+
+}  // namespace
+
+base::duration fleet_duty::NewsPeriod() const {
+  return std::clamp<base::duration>(
+      kNewsPerNode * static_cast<int>(addresses_.size()), kShortestNews,
+      kLongestNews);
+}
+
+base::duration fleet_duty::Silence() const {
+  return std::max<base::duration>(fleet::peer_table::kSilence,
+                                  kSilentPeriods * NewsPeriod());
+}
+
+bool fleet_duty::StoreReachable() const {
+  const auto since = platform_duty_->failing_since();
+  return since == base::time_point::max() || clock_.Now() - since < kStoreGrace;
+}
+
+void fleet_duty::Receive() {
+  socket_.async_receive_from(
+      boost::asio::buffer(datagram_), sender_,
+      [this](const boost::system::error_code& error, std::size_t bytes) {
+        if (error == boost::asio::error::operation_aborted)
+          return;
+        // Errors tell of datagrams that a peer's address did not take.
+        if (!error) {
+          if (auto news = fleet::DecodeNews({datagram_.data(), bytes}))
+            TakeNews(*news);
+        }
+        Receive();
+      });
+}
+
+void fleet_duty::TakeNews(const fleet::peer_news& news) {
+  const auto now = clock_.Now();
+  if (news.node == self_ || !peers_.Take(news, now))
+    return;
+  gateway::fleet_update update;
+  for (const fleet::silence_question& each : news.questions)
+    update.questions.push_back(
+        {news.node, each.replica, milliseconds(each.within_ms)});
+  update.heard_of = news.heard_of;
+  update.loads = peers_.TakeChangedLoads(now, Silence());
+  if (news.partial) {
+    // Loads matter when the next request is placed; questions can't wait.
+    if (update.questions.empty() && update.heard_of.empty())
+      updates_->SendQuietly(std::move(update));
+    else
+      updates_->Send(std::move(update));
+    return;
+  }
+  for (const base::instance_id& each : news.suspects) {
+    auto& known = heard_suspects_[each];
+    if (known != base::time_point() && now - known < 2 * kSuspicionRepeat)
+      continue;
+    known = now;
+    update.suspects.push_back(each);
+    for (auto& [name, of] : services_)
+      of->planner.Suspected(each, now);
+  }
+  update.crashes = news.crashes;
+  if (update.suspects.empty() && update.crashes.empty())
+    updates_->SendQuietly(std::move(update));
+  else
+    updates_->Send(std::move(update));
+  for (const auto& [service, statement] : news.statements) {
+    // This node may be cut off from the store that named another one.
+    const auto own = services_.find(service);
+    if (own != services_.end() && statement.term > own->second->term.term())
+      own->second->term.Fenced(now);
+    if (told_[service] == statement)
+      continue;
+    told_[service] = statement;
+    view_due_ = true;
+  }
+  const std::uint64_t own = configuration_ ? configuration_->version() : 0;
+  if (news.configuration > own && now >= configuration_not_before_) {
+    // The own watch is behind or silent.
+    configuration_not_before_ = now + kConfigurationRetry;
+    store::call get;
+    get.op = store::operation::kGet;
+    get.key = {std::string(wire_.configuration_kind()),
+               std::string(wire_.configuration_name())};
+    pending_call purpose;
+    purpose.configuration = true;
+    Submit(std::move(get), std::move(purpose));
+  }
+  if (view_due_)
+    Publish();
+  if (!news.suspects.empty())
+    Step();
+}
+
+fleet::peer_news fleet_duty::OwnNews() {
+  const auto now = clock_.Now();
+  fleet::peer_news news;
+  news.node = self_;
+  news.incarnation = incarnation_;
+  news.sequence = ++sequence_;
+  news.configuration = configuration_ ? configuration_->version() : 0;
+  news.seen_requests = seen_requests_ || peers_.AnySeenRequests();
+  news.stopping = stopping_;
+  news.store_reachable = StoreReachable();
+  news.loads = own_loads_;
+  told_loads_ = own_loads_;
+  std::erase_if(suspects_, [&](const auto& each) {
+    return now - each.second > kSuspicionRepeat;
+  });
+  for (const auto& [instance, since] : suspects_)
+    news.suspects.push_back(instance);
+  news.crashes = crashes_;
+  for (const auto& [name, of] : services_) {
+    if (of->acting && of->planner.statement().edition != 0)
+      news.statements[name] = of->planner.statement();
+  }
+  return news;
+}
+
+void fleet_duty::TellPeers() {
+  next_news_ = clock_.Now() + NewsPeriod();
+  SendToPeers(OwnNews());
+}
+
+// Tells at once what helps the peers to place their next request.
+void fleet_duty::TellChanges(const gateway::entry_news& news) {
+  fleet::peer_news part;
+  part.partial = true;
+  part.node = self_;
+  part.incarnation = incarnation_;
+  for (const auto& [instance, load] : news.loads) {
+    const auto told = told_loads_.find(instance);
+    if (told == told_loads_.end() || !(told->second == load))
+      part.loads[instance] = load;
+  }
+  for (const auto& [instance, load] : told_loads_) {
+    if (!news.loads.contains(instance))
+      part.loads[instance] = {};
+  }
+  told_loads_ = news.loads;
+  for (const gateway::silence_ask& each : news.questions)
+    part.questions.push_back(
+        {each.replica,
+         std::chrono::duration_cast<milliseconds>(each.within).count()});
+  part.sequence = ++sequence_;
+  SendToPeers(part);
+}
+
+// Answers the nodes that asked whether a replica goes on.
+void fleet_duty::AnswerPeers(const gateway::entry_news& news) {
+  for (const gateway::silence_refuted& each : news.answers) {
+    const auto address = addresses_.find(each.asker);
+    if (address == addresses_.end())
+      continue;
+    fleet::peer_news part;
+    part.partial = true;
+    part.node = self_;
+    part.incarnation = incarnation_;
+    part.heard_of = {each.replica};
+    part.sequence = ++sequence_;
+    SendTo(fleet::EncodeNews(part), address->second);
+  }
+}
+
+void fleet_duty::SendToPeers(const fleet::peer_news& news) {
+  if (addresses_.empty())
+    return;
+  const std::string text = fleet::EncodeNews(news);
+  for (const auto& [node, address] : addresses_)
+    SendTo(text, address);
+}
+
+void fleet_duty::SendTo(const std::string& text, const udp::endpoint& address) {
+  boost::system::error_code error;
+  socket_.send_to(boost::asio::buffer(text), address, 0, error);
+  // A full buffer or an unreachable peer; the next datagram says it again.
+  if (error)
+    peer_sends_failed_.Add();
+}
+
+}  // namespace flamingoshunt::daemon
--- /dev/null
+++ b/packages/daemon/fleet_duty_store.cc
@@ -0,0 +1,245 @@
+// What the fleet duty takes from the platform's store: configuration, replicas,
+// the other nodes, and who acts.
+#include <boost/json.hpp>
+
+#include <optional>
+#include <utility>
+
+#include "daemon/fleet_duty.h"
+#include "runtime/fiber_scheduler.h"
+#include "telemetry/log.h"
+
+namespace flamingoshunt::daemon {
+namespace {
+
+using boost::asio::ip::udp;
+using std::chrono::milliseconds;
+
+constexpr char kNodePrefix[] = "node.";
+constexpr milliseconds kRegisterRetry{500};
+
+std::string NodeStatement(const std::string& address,
+                          std::uint64_t incarnation) {
+  return boost::json::serialize(
+      boost::json::object{{"address", address}, {"incarnation", incarnation}});
+}
+
+std::optional<udp::endpoint> AddressIn(const std::string& statement) {
+  boost::system::error_code error;
+  const auto value = boost::json::parse(statement, error);
+  const auto* object = value.if_object();
+  const auto* address = object ? object->if_contains("address") : nullptr;
+  if (error || !address || !address->is_string())
+    return std::nullopt;
+  const auto parsed =
+      settings::ParseIpEndpoint(std::string(address->as_string()));
+  if (!parsed)
+    return std::nullopt;
+  return udp::endpoint(boost::asio::ip::make_address(parsed->ip), parsed->port);
+}
+
+bool StartsWith(const std::string& text, std::string_view prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+}  // namespace
+
+void fleet_duty::TakeDelivery(platform_delivery&& delivery) {
+  if (const auto* event = std::get_if<store::watch_event>(&delivery))
+    TakeEvent(*event);
+  else
+    TakeReply(std::get<store::reply>(delivery));
+  if (view_due_)
+    Publish();
+  Step();
+}
+
+void fleet_duty::TakeEvent(const store::watch_event& event) {
+  const std::string& kind = event.changed.key.kind;
+  if (kind == wire_.replica_kind())
+    replicas_.NotePlatformContact(clock_.Now());
+  const bool deleted = event.kind == store::watch_event_kind::kDelete;
+  if (event.kind == store::watch_event_kind::kBookmark) {
+    if (kind == groups::kFleetKind && !fleet_listed_) {
+      fleet_listed_ = true;
+      gather_until_ = clock_.Now() + kGather;
+      Register();
+    }
+    return;
+  }
+  if (kind == wire_.configuration_kind()) {
+    if (!deleted && event.changed.key.name == wire_.configuration_name())
+      TakeConfiguration(event.changed);
+  } else if (kind == wire_.replica_kind()) {
+    TakeReplica(event.changed, deleted);
+  } else if (kind == groups::kFleetKind) {
+    TakeFleetObject(event.changed, deleted);
+  }
+}
+
+void fleet_duty::TakeConfiguration(const store::object& object) {
+  gateway::configuration_ptr read;
+  try {
+    read = wire_.ReadConfiguration(object.value);
+  } catch (const base::user_error& error) {
+    telemetry::LogChange(
+        "fleet", "configuration_unreadable",
+        {{"revision", object.version.value()},
+         {"why", error.what()},
+         {"kept", configuration_ ? configuration_->version() : 0}},
+        telemetry::log_level::kWarning);
+    return;
+  }
+  // What was in force never comes back.
+  if (configuration_ && read->version() <= configuration_->version())
+    return;
+  telemetry::LogChange(
+      "fleet", "configuration",
+      {{"version", read->version()},
+       {"before", configuration_ ? configuration_->version() : 0},
+       {"revision", object.version.value()}});
+  configuration_ = std::move(read);
+  configuration_version_.Set(
+      static_cast<std::int64_t>(configuration_->version()));
+  for (const auto& [name, service] : configuration_->services()) {
+    if (!service.engine)
+      continue;
+    auto& acting = services_[name];
+    if (!acting) {
+      acting = std::make_unique<acting_service>(self_, incarnation_, name);
+      if (stopping_)
+        acting->term.Resign();
+      if (const auto term = terms_.find(name); term != terms_.end())
+        acting->term.Seen(term->second);
+      if (fleet_listed_)
+        acting->term.Listed();
+      for (const auto& [id, replica] : replicas_.replicas()) {
+        if (replica.service == name)
+          acting->planner.Listed(replica, clock_.Now());
+      }
+    }
+    acting->planner.SetLayout(*service.engine);
+  }
+  view_due_ = true;
+}
+
+void fleet_duty::TakeReplica(const store::object& object, bool deleted) {
+  const auto now = clock_.Now();
+  const base::instance_id id(object.key.name);
+  const auto entry =
+      deleted ? std::nullopt : wire_.ReadReplica(id.str(), object.value);
+  if (!entry) {
+    const auto known = replicas_.replicas().find(id);
+    const std::string service =
+        known == replicas_.replicas().end() ? "" : known->second.service;
+    const bool gone = replicas_.Delete(id, now);
+    if (service.empty())
+      return;
+    telemetry::LogChange("fleet", gone ? "replica_gone" : "replica_lapsed",
+                         {{"instance", id.str()},
+                          {"service", service},
+                          {"revision", object.version.value()},
+                          {"unreadable", !deleted}});
+    if (gone)
+      Forget(id, service);
+    return;
+  }
+  const auto known = replicas_.replicas().find(id);
+  const bool fresh = known == replicas_.replicas().end();
+  const bool leaves = entry->leaving && (fresh || !known->second.leaving);
+  if (!replicas_.Put(*entry))
+    return;
+  if (fresh || leaves)
+    telemetry::LogChange("fleet", leaves ? "replica_leaving" : "replica_listed",
+                         {{"instance", id.str()},
+                          {"service", entry->service},
+                          {"address", entry->address},
+                          {"revision", object.version.value()}});
+  if (const auto of = services_.find(entry->service); of != services_.end())
+    of->second->planner.Listed(*entry, now);
+  view_due_ = true;
+}
+
+void fleet_duty::Forget(const base::instance_id& id,
+                        const std::string& service) {
+  if (const auto of = services_.find(service); of != services_.end())
+    of->second->planner.Gone(id);
+  view_due_ = true;
+}
+
+void fleet_duty::TakeFleetObject(const store::object& object, bool deleted) {
+  const std::string& name = object.key.name;
+  if (StartsWith(name, groups::kTermPrefix)) {
+    const std::string service = name.substr(std::size(groups::kTermPrefix) - 1);
+    const auto of = services_.find(service);
+    if (deleted) {
+      terms_.erase(service);
+      if (of != services_.end())
+        of->second->term.SeenDeleted();
+      return;
+    }
+    terms_[service] = object;
+    if (of != services_.end())
+      of->second->term.Seen(object);
+  } else if (StartsWith(name, kNodePrefix)) {
+    const base::node_id node(name.substr(std::size(kNodePrefix) - 1));
+    if (node == self_) {
+      own_entry_ = deleted ? std::nullopt : std::optional(object);
+      Register();
+      return;
+    }
+    const auto address = deleted ? std::nullopt : AddressIn(object.value);
+    if (address)
+      addresses_[node] = *address;
+    else
+      addresses_.erase(node);
+  }
+}
+
+// Writes the node's own entry until the store holds it.
+void fleet_duty::Register() {
+  const std::string value =
+      NodeStatement(settings_.listen.peer.Text(), incarnation_);
+  if (!fleet_listed_ || registering_ || clock_.Now() < register_not_before_)
+    return;
+  // The store may have written the JSON in another order.
+  if (own_entry_ &&
+      boost::json::parse(own_entry_->value) == boost::json::parse(value))
+    return;
+  registering_ = true;
+  store::call write;
+  write.op = own_entry_ ? store::operation::kUpdate : store::operation::kCreate;
+  write.key = {groups::kFleetKind, kNodePrefix + self_.str()};
+  if (own_entry_)
+    write.expected = own_entry_->version;
+  write.value = value;
+  Submit(std::move(write), {});
+}
+
+void fleet_duty::Submit(store::call call, pending_call purpose) {
+  call.id = store::call_id(next_call_++);
+  pending_[call.id] = std::move(purpose);
+  calls_->Send(std::move(call));
+}
+
+void fleet_duty::TakeReply(const store::reply& reply) {
+  const auto found = pending_.find(reply.id);
+  if (found == pending_.end())
+    return;
+  const pending_call purpose = std::move(found->second);
+  pending_.erase(found);
+  if (purpose.configuration) {
+    if (reply.current)
+      TakeConfiguration(*reply.current);
+  } else if (purpose.service.empty()) {
+    registering_ = false;
+    register_not_before_ = clock_.Now() + kRegisterRetry;
+    if (reply.current)
+      own_entry_ = *reply.current;
+  } else if (const auto of = services_.find(purpose.service);
+             of != services_.end()) {
+    of->second->term.Settle(reply, clock_.Now());
+  }
+}
+
+}  // namespace flamingoshunt::daemon
--- a/packages/gateway/dispatcher.cc
+++ b/packages/gateway/dispatcher.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "base/milliseconds.h"
+
 namespace flamingoshunt::gateway {
 namespace {
 
@@ -28,15 +30,6 @@
   return model.empty() ? service : service + '/' + model;
 }
 
-base::duration FromMs(double ms) {
-  return std::chrono::duration_cast<base::duration>(
-      std::chrono::duration<double, std::milli>(ms));
-}
-
-double Ms(base::duration length) {
-  return std::chrono::duration<double, std::milli>(length).count();
-}
-
 }  // namespace
 
 const char* NameOf(refusal_reason reason) {
@@ -133,7 +126,8 @@
       candidate.expected =
           EstimateWork(*pace, place.pace, candidate.load, request.prompt_tokens,
                        request.output_tokens);
-      cost = Ms(candidate.expected.whole) + Ms(candidate.expected.first_event);
+      cost = base::Milliseconds(candidate.expected.whole) +
+             base::Milliseconds(candidate.expected.first_event);
     }
     if (!best || cost < best_cost) {
       best = candidate;
@@ -170,7 +164,8 @@
       std::max(all > 0 ? own / all : 1.0,
                1.0 / std::max(1, view_ ? view_->live_nodes : 1));
   const double frees_per_ms = std::max(1.0, slots) / mean_ms * part;
-  return FromMs((static_cast<double>(ahead) + 1) / frees_per_ms);
+  return base::FromMilliseconds((static_cast<double>(ahead) + 1) /
+                                frees_per_ms);
 }
 
 std::optional<refusal> dispatcher::JudgeWait(const ask& request,
@@ -238,7 +233,7 @@
     own_.erase(of.instance);
   if (whole) {
     double& mean = paces_[of.pool].mean_ms;
-    const double took = Ms(now - of.since);
+    const double took = base::Milliseconds(now - of.since);
     mean = mean <= 0 ? took : mean + kNewest * (took - mean);
   }
   placed_.erase(found);
@@ -325,7 +320,7 @@
                       static_cast<double>(pace->steps_per_pass);
   const double unread =
       std::min(most, static_cast<double>(LoadOf(replica).unread));
-  return FromMs(factor * unread / pace->read_tokens_per_ms);
+  return base::FromMilliseconds(factor * unread / pace->read_tokens_per_ms);
 }
 
 decisions dispatcher::Tick(base::time_point now) {
--- a/packages/gateway/pace_model.cc
+++ b/packages/gateway/pace_model.cc
@@ -3,17 +3,14 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/milliseconds.h"
+
 namespace flamingoshunt::gateway {
 namespace {
 
 constexpr double kTokensPerKilotoken = 1000;
 constexpr double kPairsPerMillion = 1e6;
 
-base::duration FromMs(double ms) {
-  return std::chrono::duration_cast<base::duration>(
-      std::chrono::duration<double, std::milli>(ms));
-}
-
 // Time to read a prompt, without the token steps it is read between.
 double ReadMs(const engine_pace& pace, double tokens) {
   const double pairs = tokens * tokens / 2 / kPairsPerMillion;
@@ -46,8 +43,8 @@
       std::ceil(static_cast<double>(output_tokens) / pace.steps_per_pass);
   // On average half a pass is left when the request arrives.
   const double first = queued + pass / 2 + read + pass;
-  return {FromMs(first), FromMs(pass),
-          FromMs(first + std::max(0.0, passes - 1) * pass)};
+  return {base::FromMilliseconds(first), base::FromMilliseconds(pass),
+          base::FromMilliseconds(first + std::max(0.0, passes - 1) * pass)};
 }
 
 }  // namespace flamingoshunt::gateway
--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "base/milliseconds.h"
 #include "telemetry/log.h"
 
 namespace flamingoshunt::gateway {
@@ -13,18 +14,9 @@
 
 // Longest wait for a connection to a replica when another one could be taken.
 constexpr milliseconds kConnectBound{400};
-// Connections that may fail before a request is given up.
-constexpr std::size_t kMaxUnsent = 4;
-// Answers of earlier requests that may stand before the awaited one.
-constexpr int kMaxStrayAnswers = 3;
-// An answer up to this size is passed on only when it is whole, so that it can
-// be taken from another replica if it breaks off.
-constexpr std::size_t kBufferedAnswer = 256 * 1024;
 // Silence of an idempotent call, in parts of its aim, after which another
 // replica is asked.
 constexpr int kSilentAims = 2;
-// A caller whose request met replicas that don't take it comes back after this.
-constexpr milliseconds kReturnAfterNotRun{300};
 constexpr milliseconds kReturnWithoutConfiguration{1000};
 // A request that meets the close of an idle connection fails within this.
 constexpr milliseconds kCrossing{100};
@@ -34,27 +26,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
-constexpr int kRequestTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
-constexpr int kServerErrors = 500;
-constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
-bool IsSuccess(int status) {
-  return status >= 200 && status < 300;
-}
-
-// Statuses that tell a caller that its request did not run.
-bool PromisesNotRun(int status) {
-  return status == kRequestTimeout || status == kMisdirected ||
-         status == kTooManyRequests || status == kUnavailable;
-}
-
-std::int64_t Ms(base::duration length) {
-  return std::chrono::duration_cast<milliseconds>(length).count();
-}
 
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
@@ -182,12 +154,13 @@
     }
     if (!place.granted) {
       const refusal why = place.refused.value_or(refusal{});
-      telemetry::LogChange("gateway", "not_placed",
-                           {{"request", head_.id.str()},
-                            {"reason", gateway::NameOf(why.reason)},
-                            {"waiting", why.waiting},
-                            {"waited_ms", Ms(host_.Now() - asked_at)},
-                            {"sent_before", sent_}});
+      telemetry::LogChange(
+          "gateway", "not_placed",
+          {{"request", head_.id.str()},
+           {"reason", gateway::NameOf(why.reason)},
+           {"waiting", why.waiting},
+           {"waited_ms", base::WholeMilliseconds(host_.Now() - asked_at)},
+           {"sent_before", sent_}});
       if (started_ || may_have_run_ || kept_)
         Finish(ending::kBroken);
       else
@@ -202,9 +175,10 @@
          {"instance", granted.place.instance.str()},
          {"running", granted.load.running},
          {"unread_tokens", granted.load.unread},
-         {"expected_first_ms", Ms(granted.expected.first_event)},
-         {"waited_ms", Ms(host_.Now() - asked_at)},
-         {"view_age_ms", Ms(host_.Now() - host_.view_at_)},
+         {"expected_first_ms",
+          base::WholeMilliseconds(granted.expected.first_event)},
+         {"waited_ms", base::WholeMilliseconds(host_.Now() - asked_at)},
+         {"view_age_ms", base::WholeMilliseconds(host_.Now() - host_.view_at_)},
          {"configuration", configuration_->version()}});
     const ending how = Attempt(granted);
     host_.Ended(request.ticket, how == ending::kComplete);
@@ -250,14 +224,15 @@
   if (how == ending::kNotRun && route_->stream)
     host_.ReportRefusal(granted.place.instance);
   if (how != ending::kComplete)
-    telemetry::LogChange("gateway", "attempt_ended",
-                         {{"request", head_.id.str()},
-                          {"instance", granted.place.instance.str()},
-                          {"how", NameOf(how)},
-                          {"silent_ms", Ms(host_.Now() - last_heard_)},
-                          {"left_ms", Ms(Left())},
-                          {"events", events_.events()},
-                          {"detail", detail}});
+    telemetry::LogChange(
+        "gateway", "attempt_ended",
+        {{"request", head_.id.str()},
+         {"instance", granted.place.instance.str()},
+         {"how", NameOf(how)},
+         {"silent_ms", base::WholeMilliseconds(host_.Now() - last_heard_)},
+         {"left_ms", base::WholeMilliseconds(Left())},
+         {"events", events_.events()},
+         {"detail", detail}});
   return how;
 }
 
@@ -375,232 +350,6 @@
   upstream_->Close();
 }
 
-session::ending session::TakeAnswer(const grant& granted) {
-  for (int stray = 0; stray <= kMaxStrayAnswers; ++stray) {
-    const auto head = upstream_->ReadHead(AnswerBound());
-    const answer_head answer = host_.wire_.ReadAnswer(head);
-    if (!answer.request_id.empty() && answer.request_id != head_.id.str()) {
-      // Left over from an earlier request on this connection.
-      std::string dropped;
-      while (upstream_->ReadSome(dropped, Left())) {
-      }
-      upstream_->ExpectAnother();
-      continue;
-    }
-    if (answer.not_run) {
-      std::string dropped;
-      while (upstream_->ReadSome(dropped, Left())) {
-      }
-      return ending::kNotRun;
-    }
-    const bool foreign = answer.foreign_coding ||
-                         (IsSuccess(answer.status) && !answer.signed_body);
-    if (foreign) {
-      upstream_->Close();
-      return ending::kBroken;
-    }
-    if (route_->stream && IsSuccess(answer.status))
-      return RelayEvents(granted, head);
-    // The caller has a part of a stream already; nothing else may follow it.
-    if (started_)
-      return ending::kFailed;
-    return BufferAnswer(head);
-  }
-  upstream_->Close();
-  return ending::kBroken;
-}
-
-session::ending session::RelayEvents(const grant& granted,
-                                     const runtime::http_response_head& head) {
-  const base::instance_id& replica = granted.place.instance;
-  const bool resumed = started_;
-  std::string bytes;
-  // CheckSilence ends the reading when the time is over.
-  while (upstream_->ReadSome(bytes, runtime::kNoTimeout)) {
-    const std::string out = events_.Feed(bytes);
-    bytes.clear();
-    if (out.empty()) {
-      if (events_.gap())
-        break;
-      continue;
-    }
-    const auto now = host_.Now();
-    if (begun_) {
-      host_.stalls_.NoteGap(replica, now - last_heard_);
-      host_.metrics_.event_gap.Observe(now - last_heard_);
-      longest_gap_ = std::max(longest_gap_, now - last_heard_);
-    } else {
-      host_.stalls_.NoteFirstEvent(Pool(), granted.expected.first_event,
-                                   now - last_heard_);
-      if (resumed)
-        longest_gap_ = std::max(longest_gap_, now - last_event_);
-      host_.dispatcher_.Started(granted.ticket);
-      if (resumed)
-        host_.metrics_.resumed.Add();
-    }
-    host_.HeardFrom(replica);
-    begun_ = true;
-    reported_ = false;
-    last_heard_ = now;
-    last_event_ = now;
-    if (!started_) {
-      host_.metrics_.first_event.Observe(now - arrived_);
-      first_event_ = now - arrived_;
-      started_ = true;
-      exchange_.StartStream(head.status, head.content_type,
-                            host_.wire_.ForwardedFields(head));
-    }
-    if (!exchange_.Write(out)) {
-      caller_gone_ = true;
-      upstream_->Close();
-      return ending::kCallerGone;
-    }
-    if (events_.gap())
-      break;
-  }
-  if (events_.gap() || events_.partial()) {
-    upstream_->Close();
-    return ending::kBroken;
-  }
-  if (!started_) {
-    started_ = true;
-    exchange_.StartStream(head.status, head.content_type,
-                          host_.wire_.ForwardedFields(head));
-  }
-  exchange_.EndStream();
-  return ending::kComplete;
-}
-
-session::ending session::BufferAnswer(const runtime::http_response_head& head) {
-  std::string body;
-  while (upstream_->ReadSome(
-      body, std::max<base::duration>(Left(), milliseconds(1)))) {
-    if (body.size() > kBufferedAnswer && IsSuccess(head.status))
-      return RelayLarge(head, std::move(body));
-  }
-  if (head.status < kServerErrors && !PromisesNotRun(head.status)) {
-    exchange_.SendWhole(head.status, head.content_type, std::move(body),
-                        host_.wire_.ForwardedFields(head));
-    status_ = head.status;
-    return ending::kComplete;
-  }
-  // A status that promises "not run" without the replica's word for it must not
-  // reach the caller of a request that runs once.
-  if (PromisesNotRun(head.status) && !route_->repeatable())
-    return ending::kBroken;
-  kept_ = kept_answer{head, std::move(body)};
-  return ending::kFailed;
-}
-
-session::ending session::RelayLarge(const runtime::http_response_head& head,
-                                    std::string first) {
-  started_ = true;
-  exchange_.StartStream(head.status, head.content_type,
-                        host_.wire_.ForwardedFields(head));
-  std::string bytes = std::move(first);
-  do {
-    if (!exchange_.Write(bytes)) {
-      caller_gone_ = true;
-      return ending::kCallerGone;
-    }
-    bytes.clear();
-  } while (upstream_->ReadSome(
-      bytes, std::max<base::duration>(Left(), milliseconds(1))));
-  exchange_.EndStream();
-  return ending::kComplete;
-}
-
-bool session::MayGoOn(ending how, const grant&) {
-  const bool over = how == ending::kComplete || how == ending::kCallerGone ||
-                    how == ending::kOutOfTime;
-  if (over || Left() <= base::duration::zero())
-    return false;
-  if (how == ending::kNotSent)
-    return tried_.size() <= kMaxUnsent;
-  if (how != ending::kNotRun && !route_->repeatable())
-    return false;
-  // A large answer that broke off can't be continued.
-  if (started_ && !route_->stream)
-    return false;
-  return sent_ < route_->max_attempts &&
-         host_.budget_.TryRepeat(service_, host_.Now());
-}
-
-void session::Finish(ending how) {
-  if (how == ending::kComplete) {
-    host_.metrics_.complete.Add();
-    host_.metrics_.whole.Observe(host_.Now() - arrived_);
-    LogDone("complete", status_);
-  } else if (how == ending::kCallerGone) {
-    exchange_.Abort();
-    host_.metrics_.left.Add();
-    LogDone("caller_left", 0);
-  } else if (started_) {
-    exchange_.Abort();
-    host_.metrics_.failed.Add();
-    LogDone("broken_off", 0);
-  } else if (kept_) {
-    SendKept();
-  } else if (!may_have_run_) {
-    Refuse(kUnavailable, NameOf(how), kReturnAfterNotRun);
-  } else {
-    GiveUp(how);
-  }
-}
-
-void session::SendKept() {
-  const int status = kept_->head.status;
-  exchange_.SendWhole(status, kept_->head.content_type, std::move(kept_->body),
-                      host_.wire_.ForwardedFields(kept_->head));
-  host_.metrics_.failed.Add();
-  LogDone("replica_failed", status);
-}
-
-void session::GiveUp(ending how) {
-  const bool late = how == ending::kOutOfTime || how == ending::kStalled;
-  const int status = late ? kGatewayTimeout : kBadGateway;
-  exchange_.SendWhole(
-      status, "application/problem+json",
-      std::string(R"({"type":")") + NameOf(how) + R"(","outcome":"unknown"})",
-      host_.wire_.OwnFields(head_.id, std::nullopt));
-  host_.metrics_.failed.Add();
-  LogDone(NameOf(how), status);
-}
-
-void session::Refuse(int status,
-                     std::string_view reason,
-                     std::optional<base::duration> retry_after) {
-  exchange_.SendWhole(
-      status, "application/problem+json",
-      R"({"type":")" + std::string(reason) + R"(","outcome":"not_run"})",
-      host_.wire_.OwnFields(head_.id, retry_after));
-  if (status == kUnavailable)
-    host_.metrics_.refused.Add();
-  else
-    host_.metrics_.rejected.Add();
-  telemetry::LogChange(
-      "gateway", "refused",
-      {{"request", head_.id.str()},
-       {"status", status},
-       {"reason", reason},
-       {"retry_after_ms", retry_after ? Ms(*retry_after) : -1},
-       {"held_ms", Ms(host_.Now() - arrived_)},
-       {"configuration", configuration_ ? configuration_->version() : 0}});
-}
-
-void session::LogDone(std::string_view outcome, int status) {
-  telemetry::LogChange("gateway", "done",
-                       {{"request", head_.id.str()},
-                        {"outcome", outcome},
-                        {"status", status},
-                        {"route", route_->name},
-                        {"replicas", sent_},
-                        {"first_event_ms", Ms(first_event_)},
-                        {"longest_gap_ms", Ms(longest_gap_)},
-                        {"events", events_.last_id().value_or(0)},
-                        {"took_ms", Ms(host_.Now() - arrived_)}});
-}
-
 void session::PeerSuspects(const base::instance_id& replica) {
   if (!at_ || *at_ != replica || !upstream_ || !route_->stream || suspected_)
     return;
--- a/packages/gateway/stall_watch.cc
+++ b/packages/gateway/stall_watch.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/milliseconds.h"
+
 namespace flamingoshunt::gateway {
 namespace {
 
@@ -27,15 +29,6 @@
 // A question is asked again after this, should the silence go on.
 constexpr milliseconds kQuestionAge{400};
 
-double Ms(base::duration length) {
-  return std::chrono::duration<double, std::milli>(length).count();
-}
-
-base::duration FromMs(double ms) {
-  return std::chrono::duration_cast<base::duration>(
-      std::chrono::duration<double, std::milli>(ms));
-}
-
 }  // namespace
 
 void stall_watch::learned::Note(double ms) {
@@ -90,18 +83,19 @@
 
 void stall_watch::NoteGap(const base::instance_id& replica,
                           base::duration gap) {
-  gaps_[replica].Note(Ms(gap));
+  gaps_[replica].Note(base::Milliseconds(gap));
 }
 
 void stall_watch::NoteFirstEvent(const std::string& pool,
                                  base::duration expected,
                                  base::duration actual) {
-  first_events_[pool].Note(Ms(actual) - Ms(expected));
+  first_events_[pool].Note(base::Milliseconds(actual) -
+                           base::Milliseconds(expected));
 }
 
 base::duration stall_watch::GapBound(const base::instance_id& replica,
                                      base::duration expected) const {
-  double usual = Ms(expected);
+  double usual = base::Milliseconds(expected);
   double deviation = usual * kUnknownDeviation;
   const auto found = gaps_.find(replica);
   if (found != gaps_.end() && found->second.count >= kEnough) {
@@ -110,12 +104,13 @@
   }
   const double bound =
       std::max(kPasses * usual, usual + kDeviations * deviation);
-  return std::min<base::duration>(FromMs(bound) + kRelay, kLongestBound);
+  return std::min<base::duration>(base::FromMilliseconds(bound) + kRelay,
+                                  kLongestBound);
 }
 
 base::duration stall_watch::FirstEventBound(const std::string& pool,
                                             base::duration expected) const {
-  double usual = Ms(expected);
+  double usual = base::Milliseconds(expected);
   double deviation = usual * kUnknownDeviation;
   const auto found = first_events_.find(pool);
   if (found != first_events_.end() && found->second.count >= kEnough) {
@@ -124,15 +119,15 @@
   }
   const double bound =
       std::max(kFirstEventPart * usual, usual + kDeviations * deviation);
-  return std::min<base::duration>(FromMs(bound) + kFirstEventSlack,
-                                  kLongestBound);
+  return std::min<base::duration>(
+      base::FromMilliseconds(bound) + kFirstEventSlack, kLongestBound);
 }
 
 base::duration stall_watch::FirstEventDelay(const std::string& pool) const {
   const auto found = first_events_.find(pool);
   if (found == first_events_.end())
     return {};
-  return FromMs(std::max(0.0, found->second.mean_ms));
+  return base::FromMilliseconds(std::max(0.0, found->second.mean_ms));
 }
 
 }  // namespace flamingoshunt::gateway
