Give an address to the replica that was started there last

Now an address belongs to the replica started there last; others at it are not asked, not used, and end the group they served in. A report is asked by id, and an answer that belongs to another replica makes the asked one lost.

--- a/packages/daemon/fleet_duty_groups.cc
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -178,8 +178,10 @@
   reports_asked_.Add();
   try {
     const auto reply = ExchangeOnce(
-        question.address, wire_.AskReport(question.address), kReportBound);
-    state = wire_.ReadReport(reply.body);
+        question.address, wire_.AskReport(id, question.address), kReportBound);
+    state = wire_.ReadReport(reply.head.status, reply.body);
+    refused = wire_.ReadOrderResult(reply.head.status) ==
+              fleet::order_result::kOtherInstance;
   } catch (const runtime::transport_error& error) {
     refused = error.failure() == runtime::transport_failure::kRefused;
   } catch (const base::user_error&) {
--- a/packages/fleet/deployment.h
+++ b/packages/fleet/deployment.h
@@ -35,10 +35,13 @@
   virtual std::optional<replica> ReadReplica(const std::string& name,
                                              std::string_view text) const = 0;
 
-  virtual runtime::http_request AskReport(const std::string& address) const = 0;
+  /// @param id any other replica at @p address must not answer.
+  virtual runtime::http_request AskReport(const base::instance_id& id,
+                                          const std::string& address) const = 0;
 
-  /// @return nothing when @p text is no report.
+  /// @return nothing when @p status and @p text are no report.
   virtual std::optional<engine_state> ReadReport(
+      int status,
       std::string_view text) const = 0;
 
   virtual runtime::http_request WriteOrder(const order& order) const = 0;
--- a/packages/groups/planner.cc
+++ b/packages/groups/planner.cc
@@ -69,7 +69,12 @@
   member& of = place->second;
   of.gone = false;
   const fleet::engine_state known = of.facts.engine;
+  const std::string address = std::exchange(of.facts.address, "");
   of.facts = replica;
+  of.listed_start_ms = replica.engine.started_ms;
+  SettleAddress(replica.address);
+  if (address != replica.address)
+    SettleAddress(address);
   if (added) {
     last_added_ = now;
     of.question_due = !adopted_ && term_ != 0;
@@ -103,6 +108,7 @@
   if (!of)
     return;
   of->gone = true;
+  SettleAddress(of->facts.address);
   // It may only be cut off from the platform.
   of->question_due = true;
 }
@@ -113,6 +119,11 @@
   member* of = Find(id);
   if (!of)
     return;
+  if (Displaced(*of)) {
+    // Told by the replica that has its address now.
+    Unreachable(id, true, now);
+    return;
+  }
   of->asked_at.reset();
   of->failures = 0;
   if (state.started_ms < of->facts.engine.started_ms)
@@ -160,7 +171,28 @@
 }
 
 bool planner::Usable(const member& of) const {
-  return !of.gone && !of.lost && !of.facts.leaving;
+  return !of.gone && !of.lost && !of.facts.leaving && !Displaced(of);
+}
+
+// @return whether another replica was started at the address of @p of since.
+// Its entry outlives it for a while, and whoever has the address now would
+// answer for it.
+bool planner::Displaced(const member& of) const {
+  const auto found = holders_.find(of.facts.address);
+  return found != holders_.end() && found->second != of.facts.id;
+}
+
+void planner::SettleAddress(const std::string& address) {
+  const member* last = nullptr;
+  for (const auto& [id, each] : members_) {
+    const bool here = !each.gone && each.facts.address == address;
+    if (here && (!last || each.listed_start_ms >= last->listed_start_ms))
+      last = &each;
+  }
+  if (last)
+    holders_[address] = last->facts.id;
+  else
+    holders_.erase(address);
 }
 
 bool planner::Holds(const member& of, const std::string& model) const {
@@ -200,7 +232,7 @@
   std::map<std::pair<std::string, base::epoch>, std::vector<const member*>>
       found;
   for (const auto& [id, each] : members_) {
-    if (each.facts.engine.member)
+    if (each.facts.engine.member && !Displaced(each))
       found[{each.facts.engine.member->group, each.facts.engine.member->epoch}]
           .push_back(&each);
   }
@@ -266,6 +298,8 @@
                         result == fleet::order_result::kDone;
   if (result == fleet::order_result::kNoAnswer)
     of->question_due = true;
+  if (result == fleet::order_result::kOtherInstance)
+    Unreachable(order.to, true, now);
   of->order_not_before = now + (accepted ? kOrderPatience : kOrderRetry);
   const auto* join = std::get_if<fleet::join_group>(&order.body);
   if (join && accepted) {
@@ -315,9 +349,9 @@
   if (!adopted_) {
     const bool all_reported =
         !members_.empty() &&
-        std::all_of(members_.begin(), members_.end(), [](const auto& each) {
+        std::all_of(members_.begin(), members_.end(), [&](const auto& each) {
           return each.second.reported_at != base::time_point() ||
-                 each.second.lost || each.second.gone;
+                 each.second.lost || each.second.gone || Displaced(each.second);
         });
     if (!all_reported && now < stocktaking_until_) {
       AskWhereDue(out, now);
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -138,13 +138,16 @@
     base::time_point opened_at{};  ///< Last answer to an open.
     bool question_due = false;
     base::time_point last_asked{};
-    bool refused = false;  ///< Its address takes no connections.
-    bool gone = false;     ///< Left the platform's list.
+    bool refused = false;               ///< Its address takes no connections.
+    bool gone = false;                  ///< Left the platform's list.
+    std::uint64_t listed_start_ms = 0;  ///< Start that the list tells.
   };
 
   member* Find(const base::instance_id& id);
   const member* Find(const base::instance_id& id) const;
   bool Usable(const member& of) const;
+  bool Displaced(const member& of) const;
+  void SettleAddress(const std::string& address);
   bool Holds(const member& of, const std::string& model) const;
   bool IsIn(const member& of, const group& group) const;
   static void ForgetOrders(member& of);
@@ -202,6 +205,8 @@
   base::time_point last_added_{};
   bool requests_began_ = false;
   std::map<base::instance_id, member> members_;
+  /// The replica that an address belongs to: the last one started there.
+  std::map<std::string, base::instance_id> holders_;
   std::map<std::string, group> groups_;
   std::map<base::instance_id, std::string> group_of_;
   load_budget loads_;
--- a/packages/groups/planner_phases.cc
+++ b/packages/groups/planner_phases.cc
@@ -85,7 +85,7 @@
   std::size_t leaving = 0;
   for (const base::instance_id& id : of.members) {
     const member* each = Find(id);
-    if (!each || each->lost) {
+    if (!each || each->lost || Displaced(*each)) {
       Close(of, fleet::close_mode::kCut, "member_lost:" + id.str(), now);
       return;
     }
--- a/packages/groups/planner_questions.cc
+++ b/packages/groups/planner_questions.cc
@@ -8,6 +8,8 @@
 
 void planner::Ask(member& of, plan& out, base::time_point now) {
   of.question_due = false;
+  if (Displaced(of))
+    return;
   if (of.asked_at && now - *of.asked_at < kQuestionBound)
     return;
   of.asked_at = now;
--- a/packages/groups/tests/fake_replicas.h
+++ b/packages/groups/tests/fake_replicas.h
@@ -38,7 +38,8 @@
   struct host {
     fleet::replica facts;
     bool dead = false;
-    bool cut = false;  ///< Out of reach, but alive.
+    bool cut = false;      ///< Out of reach, but alive.
+    bool foreign = false;  ///< Its address belongs to another service now.
     std::uint64_t fence = 0;
     base::epoch highest_epoch;
     std::vector<base::instance_id> members;  ///< Of the joined group.
@@ -174,6 +175,10 @@
 
   void Carry(planner& acting, const fleet::order& order) {
     host& to = hosts_.at(order.to);
+    if (to.foreign) {
+      acting.Settled(order, fleet::order_result::kOtherInstance, now_);
+      return;
+    }
     if (to.dead || to.cut) {
       acting.Settled(order, fleet::order_result::kNoAnswer, now_);
       return;
@@ -188,7 +193,18 @@
 
   void Answer(planner& acting, const base::instance_id& id) {
     const host& of = hosts_.at(id);
-    if (of.dead || of.cut)
+    // Whoever listens at the address answers, as some replicas do whatever
+    // name they are called by.
+    const auto there =
+        std::find_if(hosts_.begin(), hosts_.end(), [&](const auto& each) {
+          return !each.second.dead &&
+                 each.second.facts.address == of.facts.address;
+        });
+    if (of.foreign)
+      acting.Unreachable(id, true, now_);
+    else if (of.dead && there != hosts_.end())
+      acting.Reported(id, there->second.facts.engine, now_);
+    else if (of.dead || of.cut)
       acting.Unreachable(id, of.dead && refuse_when_dead, now_);
     else
       acting.Reported(id, of.facts.engine, now_);
