Share a new group's places among the nodes that wait for them

Cause: when a group opened, every node gave it its whole line at once, since no node's news had reached the others. 103 and 105 requests were placed within 10 ms on heads that run 26; they waited 1.4 s and more there, were sent back as not run, or their callers left.

Nodes now tell the lengths of their lines. While others wait too, a node takes its part of the places that are free, drawn where it isn't whole, and looks again when the news had time to arrive; the place of its own request that ended stays its own. A wait is refused at once when the first event would come after the caller has left.

Ruled out: slower reading on the new head (its own pace was as published).

--- a/packages/daemon/entry_duty.cc
+++ b/packages/daemon/entry_duty.cc
@@ -71,17 +71,21 @@
 
 void entry_duty::TellLoop() {
   gateway::load_map told;
+  gateway::line_map told_lines;
   bool told_requests = false;
   while (true) {
     boost::this_fiber::sleep_for(kTellPeriod);
     updates_.TakePending();
     gateway::entry_news news = entry_.TakeNews();
+    // The others divide free places by the lengths of the lines.
+    news.urgent = news.urgent || news.lines != told_lines;
     const bool changed =
         !(news.loads == told) || news.seen_requests != told_requests ||
         !news.suspects.empty() || !news.crashes.empty() || news.urgent;
     if (!changed)
       continue;
     told = news.loads;
+    told_lines = news.lines;
     told_requests = news.seen_requests;
     news_->Send(std::move(news));
   }
--- a/packages/daemon/fleet_duty.cc
+++ b/packages/daemon/fleet_duty.cc
@@ -120,6 +120,7 @@
 
 void fleet_duty::TakeEntryNews(gateway::entry_news&& news) {
   const auto now = clock_.Now();
+  own_lines_ = std::move(news.lines);
   AnswerPeers(news);
   if (news.urgent)
     TellChanges(news);
--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -144,6 +144,7 @@
   std::vector<char> datagram_;
   std::uint64_t sequence_ = 0;
   gateway::load_map own_loads_;
+  gateway::line_map own_lines_;
   gateway::load_map told_loads_;  ///< What the peers were told last.
   bool seen_requests_ = false;
   bool stopping_ = false;
--- a/packages/daemon/fleet_duty_peers.cc
+++ b/packages/daemon/fleet_duty_peers.cc
@@ -70,6 +70,7 @@
         {news.node, each.replica, milliseconds(each.within_ms)});
   update.heard_of = news.heard_of;
   update.loads = peers_.TakeChangedLoads(now, Silence());
+  update.lines = peers_.Lines(now, Silence());
   if (news.partial) {
     // Loads matter when the next request is placed; questions can't wait.
     if (update.questions.empty() && update.heard_of.empty())
@@ -131,6 +132,7 @@
   news.stopping = stopping_;
   news.store_reachable = StoreReachable();
   news.loads = own_loads_;
+  news.lines = own_lines_;
   told_loads_ = own_loads_;
   std::erase_if(suspects_, [&](const auto& each) {
     return now - each.second > kSuspicionRepeat;
@@ -166,6 +168,7 @@
       part.loads[instance] = {};
   }
   told_loads_ = news.loads;
+  part.lines = own_lines_;
   for (const gateway::silence_ask& each : news.questions)
     part.questions.push_back(
         {each.replica,
@@ -185,6 +188,7 @@
     part.node = self_;
     part.incarnation = incarnation_;
     part.heard_of = {each.replica};
+    part.lines = own_lines_;
     part.sequence = ++sequence_;
     SendTo(fleet::EncodeNews(part), address->second);
   }
--- a/packages/fleet/peer_news.cc
+++ b/packages/fleet/peer_news.cc
@@ -81,6 +81,10 @@
                    {"sequence", news.sequence},
                    {"partial", news.partial},
                    {"loads", EncodeLoads(news.loads)}};
+  json::object lines;
+  for (const auto& [pool, waiting] : news.lines)
+    lines[pool] = waiting;
+  out["lines"] = std::move(lines);
   json::array questions;
   for (const silence_question& each : news.questions)
     questions.push_back({json::string(each.replica.str()), each.within_ms});
@@ -96,6 +100,8 @@
   news.incarnation = Whole(from.at("incarnation"));
   news.sequence = Whole(from.at("sequence"));
   news.loads = DecodeLoads(from.at("loads").as_array());
+  for (const auto& [pool, waiting] : from.at("lines").as_object())
+    news.lines[std::string(pool)] = waiting.to_number<int>();
   for (const json::value& each : from.at("questions").as_array()) {
     const json::array& fields = each.as_array();
     news.questions.push_back({base::instance_id(Text(fields.at(0))),
@@ -188,6 +194,7 @@
     known.news.node = std::move(news.node);
     known.news.incarnation = news.incarnation;
     known.news.sequence = news.sequence;
+    known.news.lines = std::move(news.lines);
     return true;
   }
   news.loads = std::move(known.news.loads);
@@ -259,6 +266,18 @@
   return out;
 }
 
+gateway::line_map peer_table::Lines(base::time_point now,
+                                    base::duration silence) const {
+  gateway::line_map sums;
+  for (const auto& [node, peer] : peers_) {
+    if (!IsLive(node, now, silence))
+      continue;
+    for (const auto& [pool, waiting] : peer.news.lines)
+      sums[pool] += waiting;
+  }
+  return sums;
+}
+
 std::optional<group_statement> peer_table::Statement(
     const std::string& service) const {
   const auto found = statements_.find(service);
--- a/packages/fleet/peer_news.h
+++ b/packages/fleet/peer_news.h
@@ -45,8 +45,8 @@
 };
 
 struct peer_news {
-  /// Only the loads that changed, the questions and the answers are told; all
-  /// else is as it was.
+  /// Only the loads that changed, the lines, the questions and the answers are
+  /// told; all else is as it was.
   bool partial = false;
   base::node_id node;
   std::uint64_t incarnation = 0;    ///< Rises from start to start of a node.
@@ -56,6 +56,7 @@
   bool stopping = false;
   bool store_reachable = true;  ///< It can act for groups.
   gateway::load_map loads;
+  gateway::line_map lines;  ///< All that waits at this node.
   std::vector<silence_question> questions;
   std::vector<base::instance_id> heard_of;  ///< Answers: these go on.
   std::vector<base::instance_id> suspects;  ///< Stand still, as seen here.
@@ -97,6 +98,9 @@
   gateway::load_map TakeChangedLoads(base::time_point now,
                                      base::duration silence);
 
+  /// @return what waits at the live peers together.
+  gateway::line_map Lines(base::time_point now, base::duration silence) const;
+
   /// @return the newest statement about @p service, by term and edition.
   std::optional<group_statement> Statement(const std::string& service) const;
 
--- a/packages/gateway/dispatcher.cc
+++ b/packages/gateway/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "gateway/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -22,16 +23,20 @@
 // Weight of the newest whole request in the mean of its pool.
 constexpr double kNewest = 0.1;
 // Waiting requests of one pool for each slot of the pool.
-constexpr std::size_t kLinePerSlot = 4;
+constexpr int kLinePerSlot = 4;
 // The line is looked at again at least so often while somebody waits.
 constexpr milliseconds kLineCheck{50};
 
-std::string PoolKey(const std::string& service, const std::string& model) {
-  return model.empty() ? service : service + '/' + model;
-}
+// Time in which the others learn of a placement: the way between two nodes and
+// the scheduling of small processes.
+constexpr milliseconds kNewsDelay{20};
 
 }  // namespace
 
+std::string PoolName(const std::string& service, const std::string& model) {
+  return model.empty() ? service : service + '/' + model;
+}
+
 const char* NameOf(refusal_reason reason) {
   switch (reason) {
     case refusal_reason::kNoReplica:
@@ -70,9 +75,30 @@
   return sum;
 }
 
-bool dispatcher::HasRoom(const target& place, const engine_pace* pace) const {
-  const int slots = pace ? pace->slots : place.slots;
-  return LoadOf(place.instance).running < std::max(1, slots);
+int dispatcher::FreePlaces(const target& place, const engine_pace* pace) const {
+  const int slots = std::max(1, pace ? pace->slots : place.slots);
+  return std::max(0, slots - LoadOf(place.instance).running);
+}
+
+// Whether this node may take a place while others wait for it too.
+bool dispatcher::MayTake(const target& place,
+                         const engine_pace* pace,
+                         const queue_position& position,
+                         base::time_point now) {
+  const bool alone = position.others == 0;
+  if (!pace || alone || vacated_ == place.instance)
+    return true;
+  portion& own = portions_[place.instance];
+  if (now >= own.until) {
+    const double part = static_cast<double>(FreePlaces(place, pace)) *
+                        position.line / (position.line + position.others);
+    // The broken part is drawn, so that the nodes together take what is free.
+    const double whole = std::floor(part);
+    own.left = static_cast<int>(whole) +
+               (base::RandomUnit(random_) < part - whole ? 1 : 0);
+    own.until = now + kNewsDelay;
+  }
+  return own.left > 0;
 }
 
 std::vector<const target*> dispatcher::Candidates(const ask& request,
@@ -102,15 +128,19 @@
   probe.avoid = avoid;
   const engine_pace* pace = PaceOf(service);
   const auto fit = Candidates(probe, now);
-  return std::any_of(fit.begin(), fit.end(),
-                     [&](const target* each) { return HasRoom(*each, pace); });
+  return std::any_of(fit.begin(), fit.end(), [&](const target* each) {
+    return FreePlaces(*each, pace) > 0;
+  });
 }
 
 std::optional<grant> dispatcher::TryPlace(const ask& request,
+                                          const queue_position& position,
                                           base::time_point now) {
   const engine_pace* pace = PaceOf(request.service);
   auto fit = Candidates(request, now);
-  std::erase_if(fit, [&](const target* each) { return !HasRoom(*each, pace); });
+  std::erase_if(fit, [&](const target* each) {
+    return FreePlaces(*each, pace) == 0 || !MayTake(*each, pace, position, now);
+  });
   if (fit.empty())
     return std::nullopt;
   std::optional<grant> best;
@@ -134,8 +164,12 @@
       best_cost = cost;
     }
   }
-  placed_[request.ticket] = {best->place.instance,
-                             PoolKey(request.service, request.model),
+  if (vacated_ == best->place.instance)
+    vacated_.reset();
+  else if (const auto own = portions_.find(best->place.instance);
+           own != portions_.end())
+    --own->second.left;
+  placed_[request.ticket] = {best->place.instance, position.pool,
                              request.prompt_tokens, request.output_tokens, now};
   own_[best->place.instance] +=
       {1, request.prompt_tokens, request.output_tokens};
@@ -143,40 +177,33 @@
 }
 
 base::duration dispatcher::TurnIn(const ask& request,
-                                  std::size_t ahead,
+                                  const queue_position& position,
                                   base::time_point now) const {
   const engine_pace* pace = PaceOf(request.service);
   double slots = 0;
-  double own = 0;
-  double all = 0;
-  for (const target* each : Candidates(request, now)) {
+  for (const target* each : Candidates(request, now))
     slots += std::max(1, pace ? pace->slots : each->slots);
-    const auto placed = own_.find(each->instance);
-    own += placed == own_.end() ? 0 : placed->second.running;
-    all += LoadOf(each->instance).running;
-  }
-  const auto learned = paces_.find(PoolKey(request.service, request.model));
+  const auto learned = paces_.find(position.pool);
   const double mean_ms = learned == paces_.end() || learned->second.mean_ms <= 0
                              ? kUnknownServiceMs
                              : learned->second.mean_ms;
-  // Places come free over the whole fleet; this node gets its part of them.
-  const double part =
-      std::max(all > 0 ? own / all : 1.0,
-               1.0 / std::max(1, view_ ? view_->live_nodes : 1));
-  const double frees_per_ms = std::max(1.0, slots) / mean_ms * part;
-  return base::FromMilliseconds((static_cast<double>(ahead) + 1) /
-                                frees_per_ms);
+  // Places come free over the whole fleet, and the lines of the others are
+  // ordered like this one.
+  const double before =
+      position.ahead *
+      (1 + static_cast<double>(position.others) / std::max(1, position.line));
+  const double frees_per_ms = std::max(1.0, slots) / mean_ms;
+  return base::FromMilliseconds((before + 1) / frees_per_ms);
 }
 
 std::optional<refusal> dispatcher::JudgeWait(const ask& request,
-                                             std::size_t ahead,
-                                             std::size_t in_pool,
+                                             const queue_position& position,
                                              base::time_point now) const {
   const auto refuse = [&](refusal_reason reason, base::duration back) {
     return refusal{
         request.ticket, reason,
         std::clamp<base::duration>(back, kShortestReturn, kLongestReturn),
-        in_pool};
+        static_cast<std::size_t>(position.line)};
   };
   if (view_ && view_->configuration &&
       !view_->configuration->FindService(request.service))
@@ -185,19 +212,18 @@
   if (fit.empty())
     return refuse(refusal_reason::kNoReplica, kReturnWhenNothingServes);
   const engine_pace* pace = PaceOf(request.service);
-  std::size_t slots = 0;
+  int slots = 0;
   for (const target* each : fit)
-    slots +=
-        static_cast<std::size_t>(std::max(1, pace ? pace->slots : each->slots));
-  const base::duration turn = TurnIn(request, ahead, now);
-  if (ahead >= slots * kLinePerSlot)
+    slots += std::max(1, pace ? pace->slots : each->slots);
+  const base::duration turn = TurnIn(request, position, now);
+  if (position.ahead >= slots * kLinePerSlot)
     return refuse(refusal_reason::kLineFull, turn);
-  base::duration needed{};
+  work_estimate needed;
   if (pace)
     needed = EstimateWork(*pace, fit.front()->pace, {}, request.prompt_tokens,
-                          request.output_tokens)
-                 .whole;
-  if (now + turn + needed > request.give_up_at)
+                          request.output_tokens);
+  if (now + turn + needed.whole > request.give_up_at ||
+      now + turn + needed.first_event > request.first_event_by)
     return refuse(refusal_reason::kWaitTooLong, turn);
   return std::nullopt;
 }
@@ -236,8 +262,11 @@
     const double took = base::Milliseconds(now - of.since);
     mean = mean <= 0 ? took : mean + kNewest * (took - mean);
   }
+  vacated_ = of.instance;
   placed_.erase(found);
-  return Pump(now);
+  decisions made = Pump(now);
+  vacated_.reset();
+  return made;
 }
 
 decisions dispatcher::SetView(fleet_view_ptr view, base::time_point now) {
@@ -285,26 +314,39 @@
   std::erase_if(suspects_,
                 [&](const auto& each) { return each.second <= now; });
   Order(now);
-  std::map<std::string, std::size_t> sizes;
-  for (const ask& each : waiting_)
-    ++sizes[PoolKey(each.service, each.model)];
-  std::map<std::string, std::size_t> ahead;
+  std::erase_if(portions_,
+                [&](const auto& each) { return each.second.until <= now; });
+  const line_map lines = own_lines();
+  line_map ahead;
   for (auto it = waiting_.begin(); it != waiting_.end();) {
-    const std::string pool = PoolKey(it->service, it->model);
-    if (auto placed = TryPlace(*it, now)) {
+    queue_position position;
+    position.pool = PoolName(it->service, it->model);
+    position.ahead = ahead[position.pool];
+    position.line = lines.at(position.pool);
+    if (const auto others = peer_lines_.find(position.pool);
+        others != peer_lines_.end())
+      position.others = others->second;
+    if (auto placed = TryPlace(*it, position, now)) {
       made.grants.push_back(std::move(*placed));
       it = waiting_.erase(it);
-    } else if (auto refused = JudgeWait(*it, ahead[pool], sizes[pool], now)) {
+    } else if (auto refused = JudgeWait(*it, position, now)) {
       made.refusals.push_back(*refused);
       it = waiting_.erase(it);
     } else {
-      ++ahead[pool];
+      ++ahead[position.pool];
       ++it;
     }
   }
   return made;
 }
 
+line_map dispatcher::own_lines() const {
+  line_map lines;
+  for (const ask& each : waiting_)
+    ++lines[PoolName(each.service, each.model)];
+  return lines;
+}
+
 base::duration dispatcher::ReadingTime(const std::string& service,
                                        const base::instance_id& replica) const {
   const engine_pace* pace = PaceOf(service);
@@ -331,7 +373,7 @@
     base::time_point now) const {
   if (waiting_.empty())
     return std::nullopt;
-  return now + kLineCheck;
+  return now + (portions_.empty() ? kLineCheck : kNewsDelay);
 }
 
 }  // namespace flamingoshunt::gateway
--- a/packages/gateway/dispatcher.h
+++ b/packages/gateway/dispatcher.h
@@ -5,7 +5,9 @@
 // Load pattern: demand swings by half within seconds and bursts on top, while
 // groups drop out and return. The line therefore serves first what can still be
 // on time, lets late work take the places that remain, and tells the others
-// when a place will be free.
+// when a place will be free. When many places come free at once, as in a new
+// group, every node takes only the part that its line is of all lines: news
+// between nodes are slower than the places go.
 #ifndef FLAMINGOSHUNT_GATEWAY_DISPATCHER_H_
 #define FLAMINGOSHUNT_GATEWAY_DISPATCHER_H_
 
@@ -31,10 +33,12 @@
   std::string service;
   std::string model;  ///< Empty for a plain service.
   std::int64_t prompt_tokens = 0;
-  std::int64_t output_tokens = 0;        ///< Expected.
-  int priority = 0;                      ///< 0 is the most urgent.
-  base::time_point on_time_until{};      ///< First answer by then is on time.
-  base::time_point give_up_at{};         ///< No use after that.
+  std::int64_t output_tokens = 0;    ///< Expected.
+  int priority = 0;                  ///< 0 is the most urgent.
+  base::time_point on_time_until{};  ///< First answer by then is on time.
+  base::time_point give_up_at{};     ///< No use after that.
+  /// The caller leaves when it has no event by then.
+  base::time_point first_event_by = base::time_point::max();
   std::vector<base::instance_id> avoid;  ///< Tried before.
 };
 
@@ -89,6 +93,9 @@
   ///        have placed on others is as it was.
   decisions UpdatePeerLoads(const load_map& loads, base::time_point now);
 
+  /// @param lines what waits at all other nodes together.
+  void SetPeerLines(line_map lines) { peer_lines_ = std::move(lines); }
+
   /// Places nothing more on @p replica until @p until.
   void Suspect(const base::instance_id& replica, base::time_point until);
   /// A suspect answered after all.
@@ -112,6 +119,7 @@
   /// @return what this node has placed and not seen end.
   const load_map& own_loads() const { return own_; }
   std::size_t waiting() const { return waiting_.size(); }
+  line_map own_lines() const;
 
  private:
   struct placement {
@@ -125,21 +133,40 @@
     double mean_ms = 0;  ///< Of whole requests.
   };
 
+  /// Places of one replica that this node may take while news are on their
+  /// way.
+  struct portion {
+    int left = 0;
+    base::time_point until{};
+  };
+  /// A waiting request's place in the line of its pool.
+  struct queue_position {
+    std::string pool;
+    int ahead = 0;   ///< At this node.
+    int line = 0;    ///< At this node, itself included.
+    int others = 0;  ///< At the other nodes.
+  };
+
   decisions Pump(base::time_point now);
   void Order(base::time_point now);
-  std::optional<grant> TryPlace(const ask& request, base::time_point now);
+  std::optional<grant> TryPlace(const ask& request,
+                                const queue_position& position,
+                                base::time_point now);
+  bool MayTake(const target& place,
+               const engine_pace* pace,
+               const queue_position& position,
+               base::time_point now);
   std::optional<refusal> JudgeWait(const ask& request,
-                                   std::size_t ahead,
-                                   std::size_t in_pool,
+                                   const queue_position& position,
                                    base::time_point now) const;
   std::vector<const target*> Candidates(const ask& request,
                                         base::time_point now) const;
   const std::vector<target>* TargetsOf(const std::string& service) const;
   const engine_pace* PaceOf(const std::string& service) const;
   placed_load LoadOf(const base::instance_id& instance) const;
-  bool HasRoom(const target& place, const engine_pace* pace) const;
+  int FreePlaces(const target& place, const engine_pace* pace) const;
   base::duration TurnIn(const ask& request,
-                        std::size_t ahead,
+                        const queue_position& position,
                         base::time_point now) const;
 
   base::random_engine random_;
@@ -150,6 +177,10 @@
   load_map peers_;
   std::map<base::instance_id, base::time_point> suspects_;
   std::map<std::string, pool_pace> paces_;
+  line_map peer_lines_;
+  std::map<base::instance_id, portion> portions_;
+  /// Where a request of this node just ended: its place is this node's.
+  std::optional<base::instance_id> vacated_;
 };
 
 }  // namespace flamingoshunt::gateway
--- a/packages/gateway/entry.cc
+++ b/packages/gateway/entry.cc
@@ -76,6 +76,8 @@
     budget_.SetNodes(view_->live_nodes);
     Apply(dispatcher_.SetView(view_, now));
   }
+  if (update.lines)
+    dispatcher_.SetPeerLines(*update.lines);
   if (!update.loads.empty())
     Apply(dispatcher_.UpdatePeerLoads(update.loads, now));
   for (const base::instance_id& each : update.heard_of)
@@ -92,6 +94,7 @@
 entry_news entry::TakeNews() {
   entry_news news;
   news.loads = dispatcher_.own_loads();
+  news.lines = dispatcher_.own_lines();
   news.urgent = std::exchange(placed_since_, false) || !new_questions_.empty();
   news.questions = std::exchange(new_questions_, {});
   news.answers = std::exchange(new_answers_, {});
--- a/packages/gateway/entry.h
+++ b/packages/gateway/entry.h
@@ -43,6 +43,7 @@
 struct fleet_update {
   fleet_view_ptr view;  ///< Null when unchanged.
   load_map loads;       ///< What the others have placed, where it changed.
+  std::optional<line_map> lines;            ///< What waits at the others.
   std::vector<base::instance_id> suspects;  ///< Stand still, as others see.
   std::vector<crash_sighting> crashes;
   std::vector<silence_ask> questions;       ///< Of other nodes.
@@ -53,6 +54,7 @@
 /// What the request path tells the control thread.
 struct entry_news {
   load_map loads;       ///< All that this node has placed.
+  line_map lines;       ///< What waits here.
   bool urgent = false;  ///< Peers decide better when they know it at once.
   std::vector<silence_ask> questions;
   std::vector<silence_refuted> answers;
--- a/packages/gateway/fleet_view.h
+++ b/packages/gateway/fleet_view.h
@@ -51,6 +51,13 @@
 
 using load_map = std::map<base::instance_id, placed_load>;
 
+/// How many requests wait at a node, by pool: the replicas that could take
+/// them, as named by PoolName.
+using line_map = std::map<std::string, int>;
+
+/// @param model empty for a plain service.
+std::string PoolName(const std::string& service, const std::string& model);
+
 struct fleet_view {
   configuration_ptr configuration;  ///< Null before any is known.
   std::map<std::string, std::vector<target>, std::less<>> targets;
--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -18,6 +18,10 @@
 // replica is asked.
 constexpr int kSilentAims = 2;
 constexpr milliseconds kReturnWithoutConfiguration{1000};
+// Callers leave a stream that shows nothing for the longest of these.
+constexpr milliseconds kCallerPatience{2000};
+constexpr int kPatienceInAims = 4;
+constexpr int kPatienceInPauses = 8;
 // A request that meets the close of an idle connection fails within this.
 constexpr milliseconds kCrossing{100};
 // Asked for by a stream that has begun and lost its replica.
@@ -137,6 +141,14 @@
   request.priority = started_ ? kResumePriority : priority_;
   request.on_time_until = arrived_ + route_->first_answer_aim;
   request.give_up_at = give_up_at_;
+  if (route_->stream) {
+    const base::time_point heard = started_ ? last_event_ : arrived_;
+    request.first_event_by =
+        heard +
+        std::max<base::duration>({kCallerPatience,
+                                  kPatienceInAims * route_->first_answer_aim,
+                                  kPatienceInPauses * route_->pause_aim});
+  }
   request.avoid = tried_;
   return request;
 }
