Keep replicas for the model that lacks groups; count an earlier actor's loads

Now free replicas wait, staged, for a model that lacks 0.3 more of its groups, and a model that lacks half of them gets one from a model with enough, one at a time.

--- a/packages/fleet/replica.h
+++ b/packages/fleet/replica.h
@@ -34,6 +34,7 @@
   std::string model;                ///< Of its last group since the start.
   std::optional<membership> member;
   double slowness = 1;  ///< Factor on its times; above 1 it is slow.
+  bool busy = false;    ///< Carries out an order; told in reports only.
   bool operator==(const engine_state&) const = default;
 };
 
--- a/packages/groups/planner.cc
+++ b/packages/groups/planner.cc
@@ -226,6 +226,42 @@
   Change(of, group_phase::kClosing, now, std::move(reason));
 }
 
+// Counts the loads that an earlier actor has begun: more at once would slow all
+// of them.
+void planner::AdoptLoads(base::time_point now) {
+  for (auto& [id, each] : members_) {
+    const auto& in = each.facts.engine.member;
+    const bool joins = in && in->state == fleet::member_state::kJoining;
+    if (!each.loading.empty() || (!joins && !each.facts.engine.busy))
+      continue;
+    // What is loaded isn't told; a join that needs none ends soon and with it
+    // the mark.
+    base::duration longest{};
+    for (const auto& model : layout_->models)
+      longest = std::max(longest, LoadTime(model.name));
+    each.loading = kUnknownModel;
+    each.loading_until = now + longest;
+  }
+}
+
+// @return the model of a group with these members, the head first; null when
+// it can't be told. A member that still joins tells its last model or none.
+const gateway::model_layout* planner::ModelOf(
+    const std::vector<const member*>& in) const {
+  const fleet::engine_state& head = in.front()->facts.engine;
+  const auto* told = layout_->Find(head.model);
+  const auto fits = [&](const gateway::model_layout& model) {
+    return static_cast<std::size_t>(model.size) == in.size();
+  };
+  if (head.member->state != fleet::member_state::kJoining ||
+      (told && fits(*told)))
+    return told;
+  const auto& models = layout_->models;
+  const auto first = std::find_if(models.begin(), models.end(), fits);
+  const bool one = std::count_if(models.begin(), models.end(), fits) == 1;
+  return one ? &*first : nullptr;
+}
+
 // Rebuilds the groups from what the replicas say of themselves.
 void planner::Adopt(base::time_point now) {
   adopted_ = true;
@@ -242,7 +278,7 @@
     });
     const member& head = *in.front();
     const fleet::membership& of = *head.facts.engine.member;
-    const auto* model = layout_->Find(head.facts.engine.model);
+    const auto* model = ModelOf(in);
     const bool whole = model && of.rank == 0 &&
                        in.size() == static_cast<std::size_t>(model->size) &&
                        std::all_of(in.begin(), in.end(),
@@ -262,7 +298,7 @@
     group adopted;
     adopted.name = key.first;
     adopted.epoch = key.second;
-    adopted.model = head.facts.engine.model;
+    adopted.model = model ? model->name : head.facts.engine.model;
     for (const member* each : in) {
       adopted.members.push_back(each->facts.id);
       group_of_[each->facts.id] = adopted.name;
@@ -358,10 +394,15 @@
       return out;
     }
     Adopt(now);
+    AdoptLoads(now);
   }
   for (auto& [id, each] : members_) {
     const auto& staged = each.facts.engine.staged;
+    const auto& in = each.facts.engine.member;
+    const bool still = each.facts.engine.busy ||
+                       (in && in->state == fleet::member_state::kJoining);
     if (std::find(staged.begin(), staged.end(), each.loading) != staged.end() ||
+        (each.loading == kUnknownModel && !still) ||
         each.loading_until + kOrderPatience < now)
       each.loading.clear();
   }
@@ -389,6 +430,8 @@
   // from the first few would leave others without partners.
   const bool settled = requests_began_ || now - last_added_ >= kListSettles;
   FormGroups(settled, now);
+  if (settled)
+    MakeRoom(now);
   if (settled)
     StageSpares(out, now);
   for (auto& [name, of] : groups_) {
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -154,6 +154,9 @@
   base::duration JoinTime(const member& of, const std::string& model) const;
 
   void Adopt(base::time_point now);
+  void AdoptLoads(base::time_point now);
+  const gateway::model_layout* ModelOf(
+      const std::vector<const member*>& in) const;
   void StepForming(group& of, plan& out, base::time_point now);
   void StepOpening(group& of, plan& out, base::time_point now);
   void StepServing(group& of, plan& out, base::time_point now);
@@ -178,6 +181,12 @@
   std::optional<draft> Draft(const gateway::model_layout& model,
                              const std::vector<const member*>& free) const;
   double Need(const gateway::model_layout& model) const;
+  double GroupsMeant(const gateway::model_layout& model) const;
+  bool KeptForAnother(const gateway::model_layout& model,
+                      const base::fabric_domain_id& domain) const;
+  void MakeRoom(base::time_point now);
+  std::size_t CopiesMeant(const gateway::model_layout& model,
+                          const base::fabric_domain_id& domain) const;
   void StageSpares(plan& out, base::time_point now);
   void AskWhereDue(plan& out, base::time_point now);
   std::vector<const member*> FreeIn(const base::fabric_domain_id& domain) const;
--- a/packages/groups/planner_bounds.h
+++ b/packages/groups/planner_bounds.h
@@ -10,6 +10,8 @@
 
 using std::chrono::milliseconds;
 
+// Stands for a model that is loaded by order of an earlier actor.
+inline constexpr char kUnknownModel[] = "(unknown)";
 // Epochs of a term start here, so that those of a later term are higher.
 inline constexpr std::uint64_t kEpochsPerTerm = 1'000'000;
 // Fences of a term start here, likewise.
@@ -52,6 +54,12 @@
 // Preference for a model that a domain doesn't serve yet: keeps the sizes mixed
 // so that few replicas of a domain are left over.
 inline constexpr double kMixBonus = 0.3;
+// A model that lacks this much more of its groups than another one has its
+// replicas kept for it: about two groups of six.
+inline constexpr double kLacking = 0.3;
+// A model that lacks half of its groups gets them from one that has enough.
+inline constexpr double kStarving = 0.5;
+inline constexpr char kMakesRoomReason[] = "makes_room";
 inline constexpr milliseconds kBusyTick{40};
 inline constexpr milliseconds kIdleTick{400};
 // Groups of one model that are changed at once because members leave.
--- a/packages/groups/planner_forming.cc
+++ b/packages/groups/planner_forming.cc
@@ -35,11 +35,17 @@
   return domains;
 }
 
-double planner::Need(const gateway::model_layout& model) const {
+// @return how many groups of @p model its share of the work calls for.
+double planner::GroupsMeant(const gateway::model_layout& model) const {
   double usable = 0;
   for (const auto& [id, each] : members_)
     usable += Usable(each) ? 1 : 0;
-  const double target = std::max(1.0, model.share * usable / model.size);
+  return std::max(1.0, model.share * usable / model.size);
+}
+
+// @return the part of the groups meant for @p model that it lacks.
+double planner::Need(const gateway::model_layout& model) const {
+  const double target = GroupsMeant(model);
   double have = 0;
   for (const auto& [name, each] : groups_) {
     if (each.model == model.name && each.phase != group_phase::kClosing)
@@ -93,6 +99,65 @@
   return result;
 }
 
+// Small groups form from any few survivors, so that after some losses nothing
+// is left for the large ones.
+// @return whether another model lacks so many more groups than @p model that
+//         the free replicas of @p domain wait for it.
+bool planner::KeptForAnother(const gateway::model_layout& model,
+                             const base::fabric_domain_id& domain) const {
+  const double need = Need(model);
+  return std::any_of(
+      layout_->models.begin(), layout_->models.end(), [&](const auto& other) {
+        return other.size > model.size &&
+               InDomain(domain) >= static_cast<std::size_t>(other.size) &&
+               Need(other) > need + kLacking;
+      });
+}
+
+// Closes a group of a model that has enough where its members and the free
+// replicas make one of a model that starves; one at a time.
+void planner::MakeRoom(base::time_point now) {
+  const bool under_way =
+      std::any_of(groups_.begin(), groups_.end(), [](const auto& each) {
+        return each.second.phase == group_phase::kClosing &&
+               each.second.reason == kMakesRoomReason;
+      });
+  if (under_way)
+    return;
+  for (const auto& starving : layout_->models) {
+    const double need = Need(starving);
+    const bool forming =
+        std::any_of(groups_.begin(), groups_.end(), [&](const auto& each) {
+          return each.second.model == starving.name &&
+                 (each.second.phase == group_phase::kForming ||
+                  each.second.phase == group_phase::kOpening);
+        });
+    if (need < kStarving || forming)
+      continue;
+    group* best = nullptr;
+    std::size_t most_free = 0;
+    for (auto& [name, each] : groups_) {
+      const auto* model = layout_->Find(each.model);
+      const member* head = Find(each.head());
+      if (!model || !head || each.phase != group_phase::kServing)
+        continue;
+      // What it gives away must not leave it as needy as the other.
+      const double after = Need(*model) + 1 / GroupsMeant(*model);
+      const std::size_t free = FreeIn(head->facts.engine.fabric_domain).size();
+      const bool enough =
+          free + each.members.size() >= static_cast<std::size_t>(starving.size);
+      if (after + kLacking <= need && enough && (!best || free > most_free)) {
+        best = &each;
+        most_free = free;
+      }
+    }
+    if (best) {
+      Close(*best, fleet::close_mode::kFinish, kMakesRoomReason, now);
+      return;
+    }
+  }
+}
+
 bool planner::FormOneIn(const base::fabric_domain_id& domain,
                         base::time_point now) {
   const auto free = FreeIn(domain);
@@ -105,7 +170,8 @@
   std::optional<draft> best;
   for (const auto& model : layout_->models) {
     auto candidate = Draft(model, free);
-    if (!candidate || !MayLoad(candidate->loads, now))
+    if (!candidate || !MayLoad(candidate->loads, now) ||
+        KeptForAnother(model, domain))
       continue;
     if (!served.contains(model.name))
       candidate->need += kMixBonus;
@@ -160,6 +226,19 @@
   }
 }
 
+// @return how many free replicas of @p domain are to hold a copy of @p model:
+//         one against the next loss, or a whole group's where they wait for it.
+std::size_t planner::CopiesMeant(const gateway::model_layout& model,
+                                 const base::fabric_domain_id& domain) const {
+  const bool awaited = std::any_of(
+      layout_->models.begin(), layout_->models.end(), [&](const auto& other) {
+        return other.size < model.size &&
+               Need(model) > Need(other) + kLacking &&
+               KeptForAnother(other, domain);
+      });
+  return awaited ? static_cast<std::size_t>(model.size) : 1;
+}
+
 void planner::StageSpares(plan& out, base::time_point now) {
   auto models = layout_->models;
   std::sort(models.begin(), models.end(),
@@ -167,19 +246,22 @@
   for (const auto& domain : Domains()) {
     const auto free = FreeIn(domain);
     for (const auto& model : models) {
-      const auto holds = [&](const member* each) {
-        return Holds(*each, model.name);
-      };
-      if (std::any_of(free.begin(), free.end(), holds))
+      const auto holding = static_cast<std::size_t>(std::count_if(
+          free.begin(), free.end(),
+          [&](const member* each) { return Holds(*each, model.name); }));
+      const std::size_t meant = CopiesMeant(model, domain);
+      if (holding >= meant)
         continue;
-      const auto empty =
+      const auto fit =
           std::find_if(free.begin(), free.end(), [&](const member* each) {
-            return each->facts.engine.staged.empty() && each->loading.empty() &&
-                   !each->order_pending && now >= each->order_not_before;
+            const bool empty = each->facts.engine.staged.empty();
+            return (empty || (meant > 1 && !Holds(*each, model.name))) &&
+                   each->loading.empty() && !each->order_pending &&
+                   now >= each->order_not_before;
           });
-      if (empty == free.end() || !MayLoad(1, now))
+      if (fit == free.end() || !MayLoad(1, now))
         continue;
-      member& spare = *Find((*empty)->facts.id);
+      member& spare = *Find((*fit)->facts.id);
       spare.loading = model.name;
       spare.loading_until = now + LoadTime(model.name);
       loads_.Note(1, now);
--- a/packages/groups/planner_questions.cc
+++ b/packages/groups/planner_questions.cc
@@ -37,10 +37,12 @@
         const bool ready =
             each && IsIn(*each, of) &&
             each->facts.engine.member->state != fleet::member_state::kJoining;
-        if (!ordered || ready)
+        // One that an earlier actor told to join tells its progress as well.
+        const bool joining = each && IsIn(*each, of);
+        if ((!ordered && !joining) || ready)
           continue;
         const base::duration join = JoinTime(*each, of.model);
-        if (now - each->ordered_at >= join * 9 / 10)
+        if (ordered && now - each->ordered_at >= join * 9 / 10)
           ask_every(*each, kAskSoon);
         else
           ask_every(*each, kAskLoading);
--- a/packages/groups/tests/correctness/a_new_actor_takes_over_what_serves.cc
+++ b/packages/groups/tests/correctness/a_new_actor_takes_over_what_serves.cc
@@ -33,4 +33,36 @@
   CHECK(replicas.breaches().empty());
 }
 
+TEST_CASE("A new actor counts the loads that are under way") {
+  fake_replicas replicas(4, 11);
+  replicas.requests_began = true;
+  planner first("llm");
+  first.SetLayout(replicas.layout());
+  first.RequestsBegan();
+  replicas.ListAll(first);
+  first.BeginTerm(1, replicas.now());
+  replicas.Run(first, milliseconds(2500));
+  const auto loading = [&] {
+    return std::count_if(
+        replicas.hosts().begin(), replicas.hosts().end(), [](const auto& each) {
+          const auto& in = each.second.facts.engine.member;
+          return in && in->state == fleet::member_state::kJoining &&
+                 each.second.facts.engine.staged.empty();
+        });
+  };
+  const auto before = loading();
+  REQUIRE(before >= replicas.layout().loads_at_once);
+  planner second("llm");
+  second.SetLayout(replicas.layout());
+  second.RequestsBegan();
+  replicas.ListAll(second);
+  second.BeginTerm(2, replicas.now());
+  replicas.Run(second, milliseconds(5000));
+  CHECK(loading() <= before);
+  // What was being formed goes on under the new actor.
+  replicas.Run(second, milliseconds(10000));
+  CHECK(replicas.WholeGroups("large") + replicas.WholeGroups("small") == 2);
+  CHECK(replicas.breaches().empty());
+}
+
 }  // namespace flamingoshunt::groups::testing
