Refuse at once what a wave leaves no place for

Cause: under overload the line served the earliest deadline first and judged a wait by the requests ahead alone.

Each pool now knows how fast requests come against how fast places come free. Work that can't be on time is judged by the places that newer work leaves; a short line says nothing about that and is judged as before.

--- a/packages/gateway/dispatcher.cc
+++ b/packages/gateway/dispatcher.cc
@@ -27,6 +27,16 @@
 // The line is looked at again at least so often while somebody waits.
 constexpr milliseconds kLineCheck{50};
 
+// Time over which arrivals are counted: shorter than a wave, long enough for a
+// few dozen of them.
+constexpr double kArrivalMemoryMs = 1000;
+// Turns come unevenly; one that is this much later than expected must still be
+// on time.
+constexpr double kTurnMargin = 1.25;
+// Fewer waiting requests than this say nothing about what follows them.
+constexpr int kTrend = 8;
+// Places left to late work are never taken to be fewer than this part.
+constexpr double kLeastLeft = 0.05;
 // Time in which the others learn of a placement: the way between two nodes and
 // the scheduling of small processes.
 constexpr milliseconds kNewsDelay{20};
@@ -178,6 +188,7 @@
 
 base::duration dispatcher::TurnIn(const ask& request,
                                   const queue_position& position,
+                                  base::duration first_event,
                                   base::time_point now) const {
   const engine_pace* pace = PaceOf(request.service);
   double slots = 0;
@@ -193,7 +204,15 @@
       position.ahead *
       (1 + static_cast<double>(position.others) / std::max(1, position.line));
   const double frees_per_ms = std::max(1.0, slots) / mean_ms;
-  return base::FromMilliseconds((before + 1) / frees_per_ms);
+  const double turn_ms = (before + 1) / frees_per_ms;
+  const auto due = now + first_event;
+  if (due + base::FromMilliseconds(turn_ms * kTurnMargin) <=
+          request.on_time_until ||
+      position.line + position.others < kTrend)
+    return base::FromMilliseconds(turn_ms);
+  // What comes while it waits, and can still be on time, goes before it.
+  const double left = 1 - Utilization(position, frees_per_ms, now);
+  return base::FromMilliseconds(turn_ms / std::max(kLeastLeft, left));
 }
 
 std::optional<refusal> dispatcher::JudgeWait(const ask& request,
@@ -215,20 +234,45 @@
   int slots = 0;
   for (const target* each : fit)
     slots += std::max(1, pace ? pace->slots : each->slots);
-  const base::duration turn = TurnIn(request, position, now);
-  if (position.ahead >= slots * kLinePerSlot)
-    return refuse(refusal_reason::kLineFull, turn);
   work_estimate needed;
   if (pace)
     needed = EstimateWork(*pace, fit.front()->pace, {}, request.prompt_tokens,
                           request.output_tokens);
+  const base::duration turn =
+      TurnIn(request, position, needed.first_event, now);
+  if (position.ahead >= slots * kLinePerSlot)
+    return refuse(refusal_reason::kLineFull, turn);
   if (now + turn + needed.whole > request.give_up_at ||
       now + turn + needed.first_event > request.first_event_by)
     return refuse(refusal_reason::kWaitTooLong, turn);
   return std::nullopt;
 }
 
+void dispatcher::NoteArrival(const ask& request, base::time_point now) {
+  pool_pace& of = paces_[PoolName(request.service, request.model)];
+  const double passed = base::Milliseconds(now - of.arrived_at);
+  of.arrivals_per_ms =
+      of.arrivals_per_ms * std::exp(-passed / kArrivalMemoryMs) +
+      1 / kArrivalMemoryMs;
+  of.arrived_at = now;
+}
+
+// @return arrivals at all nodes, taken to be as busy as this one, for each
+//         place that comes free.
+double dispatcher::Utilization(const queue_position& position,
+                               double frees_per_ms,
+                               base::time_point now) const {
+  const auto found = paces_.find(position.pool);
+  if (found == paces_.end())
+    return 0;
+  const pool_pace& of = found->second;
+  const double passed = base::Milliseconds(now - of.arrived_at);
+  return of.arrivals_per_ms * std::exp(-passed / kArrivalMemoryMs) *
+         std::max(1, view_ ? view_->live_nodes : 1) / frees_per_ms;
+}
+
 decisions dispatcher::Ask(ask request, base::time_point now) {
+  NoteArrival(request, now);
   waiting_.push_back(std::move(request));
   return Pump(now);
 }
--- a/packages/gateway/dispatcher.h
+++ b/packages/gateway/dispatcher.h
@@ -130,7 +130,9 @@
     base::time_point since{};
   };
   struct pool_pace {
-    double mean_ms = 0;  ///< Of whole requests.
+    double mean_ms = 0;          ///< Of whole requests.
+    double arrivals_per_ms = 0;  ///< At this node, as of the last one.
+    base::time_point arrived_at{};
   };
 
   /// Places of one replica that this node may take while news are on their
@@ -165,8 +167,13 @@
   const engine_pace* PaceOf(const std::string& service) const;
   placed_load LoadOf(const base::instance_id& instance) const;
   int FreePlaces(const target& place, const engine_pace* pace) const;
+  void NoteArrival(const ask& request, base::time_point now);
+  double Utilization(const queue_position& position,
+                     double frees_per_ms,
+                     base::time_point now) const;
   base::duration TurnIn(const ask& request,
                         const queue_position& position,
+                        base::duration first_event,
                         base::time_point now) const;
 
   base::random_engine random_;
