Log when the store is lost, regained, or has forgotten its history

Ruled out so far: a watch that ended without a message when its wait was over (none was due then), stale reads (none are made).

No decision changes; no test but the build's.

--- a/packages/daemon/platform_duty.cc
+++ b/packages/daemon/platform_duty.cc
@@ -3,8 +3,10 @@
 #include <optional>
 #include <utility>
 
+#include "base/milliseconds.h"
 #include "runtime/fiber_scheduler.h"
 #include "runtime/fiber_wait.h"
+#include "telemetry/log.h"
 
 namespace flamingoshunt::daemon {
 namespace {
@@ -92,19 +94,34 @@
 }
 
 void platform_duty::NoteContact(const store::port_news& news) {
+  const auto* event = std::get_if<store::watch_event>(&news);
+  if (event && event->kind == store::watch_event_kind::kGap)
+    telemetry::LogChange("store", "history_gone",
+                         {{"watch", event->id.value()}});
   const auto* reply = std::get_if<store::reply>(&news);
   const bool failed_call =
       reply && (reply->outcome == store::call_outcome::kUnavailable ||
                 reply->outcome == store::call_outcome::kUnknown);
   const bool failed =
       failed_call || std::holds_alternative<store::watch_ended>(news);
+  const auto now = clock_.Now();
+  const auto since = failing_since_.load();
+  const bool failing = since != base::time_point::max();
   if (!failed) {
     failing_since_.store(base::time_point::max());
+    if (failing)
+      telemetry::LogChange(
+          "store", "regained",
+          {{"after_ms", base::WholeMilliseconds(now - since)}});
     return;
   }
-  last_failure_.store(clock_.Now());
-  if (failing_since_.load() == base::time_point::max())
-    failing_since_.store(clock_.Now());
+  last_failure_.store(now);
+  if (!failing) {
+    failing_since_.store(now);
+    telemetry::LogChange("store", "lost",
+                         {{"by", failed_call ? "call" : "watch"}},
+                         telemetry::log_level::kWarning);
+  }
 }
 
 void platform_duty::Submit(std::size_t link, store::call call) {
