Stop a request that broke three replicas

Cause: the guard counted sightings, but nothing reported one, since requests with the same body were feared to be common. An attempt that broke off or stalled after it was sent is now a sighting.

Test: a request that breaks three replicas reaches no fourth (it went on before).

--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -232,6 +232,10 @@
     host_.pool_.Return(std::move(upstream_));
     upstream_.reset();
   }
+  // Whether the replica crashed isn't known yet; a request that this happens to
+  // at three of them is stopped.
+  if (may_have_run_ && (how == ending::kBroken || how == ending::kStalled))
+    host_.ReportCrash({fingerprint_, granted.place.instance});
   // A head that takes nothing new may have lost a member.
   if (how == ending::kNotRun && route_->stream)
     host_.ReportRefusal(granted.place.instance);
--- a/packages/gateway/tests/correctness/crashing_requests_are_stopped.cc
+++ b/packages/gateway/tests/correctness/crashing_requests_are_stopped.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/crash_guard.h"
 #include "gateway/tests/dispatch_fixture.h"
+#include "gateway/tests/gateway_harness.h"
 
 namespace flamingoshunt::gateway::testing {
 
@@ -20,6 +21,26 @@
   CHECK_FALSE(guard.Refuses(poison, At(0) + crash_guard::kMemory));
 }
 
+TEST_CASE("A request that breaks three replicas reaches no fourth") {
+  int reached = 0;
+  const gateway_harness harness([&](gateway_harness& test) {
+    const auto crash = [&](runtime::http_exchange& exchange) {
+      ++reached;
+      exchange.Abort();
+    };
+    test.Serve({test.AddReplica("a", crash), test.AddReplica("b", crash),
+                test.AddReplica("c", crash), test.AddReplica("d", crash)});
+    // Each attempt of the caller may reach two replicas, drawn anew.
+    caller_answer answer;
+    for (int i = 0; i < 20; ++i)
+      answer = test.Call("/safe/x");
+    CHECK(answer.status == 503);
+    const int before = reached;
+    CHECK(test.Call("/safe/x").status == 503);
+    CHECK(reached == before);
+  });
+}
+
 TEST_CASE("The memory of crashes is bounded") {
   crash_guard guard;
   for (std::uint64_t i = 0; i < 3 * crash_guard::kMaxRequests; ++i)
