Let the strongest nodes act, and replace a silent actor soon

In a fleet of 103 nodes each tells its news once a second and counts as gone after 5.2 s, so nobody acted for 7.4 s, and the same weak node followed itself.

Nodes now tell how much of a processor they have, only those with three quarters of the most act, and an actor tells its news at least every 350 ms and is passed over after 1.5 s of silence.

Test: only the strongest act, and a silent actor is replaced soon.

--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -93,6 +93,7 @@
   void SendTo(const std::string& text,
               const boost::asio::ip::udp::endpoint& address);
   base::duration NewsPeriod() const;
+  base::duration SharedNewsPeriod() const;
   base::duration Silence() const;
   bool StoreReachable() const;
 
--- a/packages/daemon/fleet_duty_groups.cc
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -64,8 +64,10 @@
   if (fleet_listed_)
     of.term.Listed();
   if (now >= gather_until_ && StoreReachable()) {
-    auto able = peers_.AbleToAct(now, Silence());
-    able.push_back(self_);
+    fleet::peer_news self;
+    self.node = self_;
+    self.cores = settings_.gateway->cores;
+    const auto able = peers_.MayAct(self, of.term.actor(), now, Silence());
     if (auto write = of.term.Tick(able, now)) {
       pending_call purpose;
       purpose.service = name;
--- a/packages/daemon/fleet_duty_peers.cc
+++ b/packages/daemon/fleet_duty_peers.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kNewsPerNode{10};
 constexpr milliseconds kShortestNews{250};
 constexpr milliseconds kLongestNews{1000};
+// Leaves room for three lost datagrams before an actor counts as silent.
+constexpr milliseconds kActorNews{350};
 // A peer counts as silent after so many of its periods, but not before the
 // table's own bound.
 constexpr int kSilentPeriods = 5;
@@ -30,6 +32,15 @@
 }  // namespace
 
 base::duration fleet_duty::NewsPeriod() const {
+  const bool acting =
+      std::any_of(services_.begin(), services_.end(),
+                  [](const auto& each) { return each.second->acting; });
+  const base::duration shared = SharedNewsPeriod();
+  return acting ? std::min<base::duration>(kActorNews, shared) : shared;
+}
+
+// What every node that doesn't act keeps to.
+base::duration fleet_duty::SharedNewsPeriod() const {
   return std::clamp<base::duration>(
       kNewsPerNode * static_cast<int>(addresses_.size()), kShortestNews,
       kLongestNews);
@@ -37,7 +48,7 @@
 
 base::duration fleet_duty::Silence() const {
   return std::max<base::duration>(fleet::peer_table::kSilence,
-                                  kSilentPeriods * NewsPeriod());
+                                  kSilentPeriods * SharedNewsPeriod());
 }
 
 bool fleet_duty::StoreReachable() const {
@@ -131,6 +142,7 @@
   news.seen_requests = seen_requests_ || peers_.AnySeenRequests();
   news.stopping = stopping_;
   news.store_reachable = StoreReachable();
+  news.cores = settings_.gateway->cores;
   news.loads = own_loads_;
   news.lines = own_lines_;
   told_loads_ = own_loads_;
--- a/packages/fleet/peer_news.cc
+++ b/packages/fleet/peer_news.cc
@@ -114,6 +114,7 @@
   news.seen_requests = from.at("seen_requests").as_bool();
   news.stopping = from.at("stopping").as_bool();
   news.store_reachable = from.at("store_reachable").as_bool();
+  news.cores = from.at("cores").to_number<double>();
   news.suspects = DecodeIds(from.at("suspects").as_array());
   for (const json::value& each : from.at("crashes").as_array()) {
     const json::array& fields = each.as_array();
@@ -146,6 +147,7 @@
   out["seen_requests"] = news.seen_requests;
   out["stopping"] = news.stopping;
   out["store_reachable"] = news.store_reachable;
+  out["cores"] = news.cores;
   out["suspects"] = EncodeIds(news.suspects);
   out["crashes"] = std::move(crashes);
   out["statements"] = std::move(statements);
@@ -251,6 +253,26 @@
   return able;
 }
 
+std::vector<base::node_id> peer_table::MayAct(const peer_news& self,
+                                              const base::node_id& actor,
+                                              base::time_point now,
+                                              base::duration silence) const {
+  auto able = AbleToAct(now, silence);
+  if (actor != self.node && !IsLive(actor, now, kActorSilence))
+    std::erase(able, actor);
+  able.push_back(self.node);
+  const auto cores = [&](const base::node_id& node) {
+    return node == self.node ? self.cores : peers_.at(node).news.cores;
+  };
+  double most = 0;
+  for (const base::node_id& each : able)
+    most = std::max(most, cores(each));
+  std::erase_if(able, [&](const base::node_id& each) {
+    return cores(each) < kStrong * most;
+  });
+  return able;
+}
+
 gateway::load_map peer_table::TakeChangedLoads(base::time_point now,
                                                base::duration silence) {
   for (auto& [node, peer] : peers_) {
--- a/packages/fleet/peer_news.h
+++ b/packages/fleet/peer_news.h
@@ -55,6 +55,7 @@
   bool seen_requests = false;  ///< Callers have reached this node or a peer.
   bool stopping = false;
   bool store_reachable = true;  ///< It can act for groups.
+  double cores = 0;  ///< Part of a processor that it has; 0 while unknown.
   gateway::load_map loads;
   gateway::line_map lines;  ///< All that waits at this node.
   std::vector<silence_question> questions;
@@ -78,6 +79,12 @@
   /// A peer that said nothing for so long counts as gone. Several datagrams
   /// may be lost before that.
   static constexpr base::duration kSilence = std::chrono::milliseconds(1200);
+  /// An acting node tells its news often whatever the fleet's size, so that its
+  /// loss shows soon.
+  static constexpr base::duration kActorSilence =
+      std::chrono::milliseconds(1500);
+  /// Who has less of a processor than this part of the strongest doesn't act.
+  static constexpr double kStrong = 0.75;
 
   /// @return whether the news are newer than what was known of that node.
   bool Take(peer_news news, base::time_point now);
@@ -88,6 +95,14 @@
   /// @return the live nodes that reach the platform's store.
   std::vector<base::node_id> AbleToAct(base::time_point now,
                                        base::duration silence) const;
+  /// @param self  its name, processor and reach of the store.
+  /// @param actor who acts now.
+  /// @return the nodes that may act: the strongest of those that reach the
+  ///         store, without an actor that fell silent.
+  std::vector<base::node_id> MayAct(const peer_news& self,
+                                    const base::node_id& actor,
+                                    base::time_point now,
+                                    base::duration silence) const;
   bool IsLive(const base::node_id& node,
               base::time_point now,
               base::duration silence) const;
--- a/packages/fleet/tests/correctness/peers_know_each_others_loads.cc
+++ b/packages/fleet/tests/correctness/peers_know_each_others_loads.cc
@@ -108,4 +108,24 @@
   CHECK_FALSE(DecodeNews(EncodeNews(cut_off))->store_reachable);
 }
 
+TEST_CASE("Only the strongest act, and a silent actor is replaced soon") {
+  peer_table peers;
+  peer_news self = News("weak", 1, 0);
+  self.cores = 0.08;
+  for (const char* name : {"strong-1", "strong-2", "small"}) {
+    peer_news news = News(name, 1, 0);
+    news.cores = news.node == base::node_id("small") ? 0.08 : 0.5;
+    peers.Take(DecodeNews(EncodeNews(news)).value(), At(0));
+  }
+  // Of a large fleet, whose nodes speak seldom.
+  constexpr milliseconds kLong{5000};
+  const base::node_id actor("strong-1");
+  CHECK(peers.MayAct(self, actor, At(1000), kLong) ==
+        std::vector{base::node_id("strong-1"), base::node_id("strong-2")});
+  CHECK(peers.MayAct(self, actor, At(2000), kLong) ==
+        std::vector{base::node_id("strong-2")});
+  // With nobody else in reach the weak one acts.
+  CHECK(peers.MayAct(self, actor, At(9000), kLong) == std::vector{self.node});
+}
+
 }  // namespace flamingoshunt::fleet
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -29,6 +29,7 @@
 constexpr std::int64_t kMaxRequests = 262144;
 constexpr double kMaxRetryRatio = 10;
 constexpr double kMaxRetrySlack = 1e9;
+constexpr double kMaxCores = 1024;
 constexpr double kShortestWindowSeconds = 0.1;
 constexpr double kLongestWindowSeconds = 3600;
 constexpr std::int64_t kMaxSpans = 1 << 20;
@@ -224,6 +225,7 @@
                     std::chrono::duration<double>(gateway.grace).count());
   gateway.grace = std::chrono::duration_cast<milliseconds>(
       std::chrono::duration<double>(grace_s));
+  gateway.cores = reader.Number("cores", 0, kMaxCores, gateway.cores);
   gateway.first_start = reader.Boolean("first_start", gateway.first_start);
 }
 
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -96,6 +96,7 @@
   ip_endpoint ready;  ///< Where the balancer asks whether to send callers.
   double retry_ratio = 0.2;  ///< Repeats for each request, over the fleet.
   double retry_slack = 10;   ///< Repeats beyond that, over the fleet.
+  double cores = 1;          ///< Part of a processor that the instance gives.
   std::chrono::milliseconds retry_window{10000};
   /// From the request to stop until the process is killed.
   std::chrono::milliseconds grace{8000};
