Remember arrivals only of models that are served

Callers name the model, so counting arrivals of any name let them grow the memory without bound. Found on reading the diff; no behaviour for served models changes, and no test: the bound can't be seen from outside without an accessor made for it.

--- a/packages/gateway/dispatcher.cc
+++ b/packages/gateway/dispatcher.cc
@@ -272,7 +272,9 @@
 }
 
 decisions dispatcher::Ask(ask request, base::time_point now) {
-  NoteArrival(request, now);
+  // Callers may name any model; only those that are served are remembered.
+  if (!Candidates(request, now).empty())
+    NoteArrival(request, now);
   waiting_.push_back(std::move(request));
   return Pump(now);
 }
