--- a/packages/fleet/tests/correctness/peers_know_each_others_loads.cc
+++ b/packages/fleet/tests/correctness/peers_know_each_others_loads.cc
@@ -33,6 +33,8 @@
   news.suspects = {kHead};
   news.crashes = {{base::fingerprint(~0ULL), kHead}};
   news.questions = {{kHead, 60}};
+  news.lines = {{"llm/m", 7}};
+  news.cores = 0.5;
   news.statements["llm"] = {4, 5, {{"g", base::epoch(4000001), "m", kHead}}};
   const auto back = DecodeNews(EncodeNews(news));
   REQUIRE(back);
@@ -44,6 +46,26 @@
   CHECK(back->crashes == news.crashes);
   CHECK(back->questions == news.questions);
   CHECK(back->statements == news.statements);
+  CHECK(back->lines == news.lines);
+  CHECK(back->cores == 0.5);
+}
+
+TEST_CASE("The lines of the live nodes are added up, as last told") {
+  peer_table peers;
+  auto a = News("a", 1, 0);
+  a.lines = {{"llm/m", 7}, {"llm/n", 1}};
+  auto b = News("b", 1, 0);
+  b.lines = {{"llm/m", 2}};
+  peers.Take(a, At(0));
+  peers.Take(b, At(1000));
+  CHECK(peers.Lines(At(1000), kSilence) ==
+        gateway::line_map{{"llm/m", 9}, {"llm/n", 1}});
+  auto part = News("b", 2, 0);
+  part.partial = true;
+  part.lines = {{"llm/m", 4}};
+  peers.Take(part, At(1100));
+  // The first has been silent since.
+  CHECK(peers.Lines(At(1300), kSilence) == gateway::line_map{{"llm/m", 4}});
 }
 
 TEST_CASE("The sum of loads follows full and partial news") {
