Log late reads, a late loop, unacknowledged bytes and peer traffic

Counters and histograms of the same go with the metrics. The three places that peeked at a socket share one function. No decision changes.

--- a/packages/daemon/entry_duty.cc
+++ b/packages/daemon/entry_duty.cc
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include "base/milliseconds.h"
 #include "runtime/fiber_scheduler.h"
 #include "telemetry/log.h"
 
@@ -13,6 +14,8 @@
 
 using std::chrono::milliseconds;
 
+// A longer delay of the I/O thread is logged.
+constexpr milliseconds kLongLoopDelay{250};
 constexpr std::size_t kRingUpdates = 256;
 // How often loads are told to the control thread, which tells the peers.
 constexpr milliseconds kTellPeriod{100};
@@ -30,6 +33,8 @@
                        const gateway::protocol& wire,
                        gateway::metrics& metrics)
     : options_(std::move(options)),
+      clock_(clock),
+      metrics_(metrics),
       thread_("entry"),
       entry_(
           thread_.loop(),
@@ -74,7 +79,9 @@
   gateway::queue_length_map told_lines;
   bool told_requests = false;
   while (true) {
+    const auto due = clock_.Now() + kTellPeriod;
     boost::this_fiber::sleep_for(kTellPeriod);
+    RecordLoopDelay(clock_.Now() - due);
     updates_.TakePending();
     gateway::entry_update news = entry_.CollectUpdate();
     // The others divide free places by the lengths of the lines.
@@ -91,6 +98,16 @@
   }
 }
 
+void entry_duty::RecordLoopDelay(base::duration delay) {
+  metrics_.loop_delay.Observe(delay);
+  if (delay < kLongLoopDelay)
+    return;
+  telemetry::LogChange("gateway", "loop_delayed",
+                       {{"delay_ms", base::WholeMilliseconds(delay)},
+                        {"running", entry_.running()},
+                        {"connections", callers_->connections()}});
+}
+
 void entry_duty::SetLimits(const gateway::caller_limits& limits) {
   limits_ = limits;
   options_.server.max_header_bytes = limits.header_bytes;
--- a/packages/daemon/entry_duty.h
+++ b/packages/daemon/entry_duty.h
@@ -57,9 +57,13 @@
   void TakeUpdate(const gateway::fleet_update& update);
   void AnswerReady(runtime::http_exchange& exchange);
   void TellLoop();
+  /// @param delay how late a timer of the I/O thread fired.
+  void RecordLoopDelay(base::duration delay);
   void SetLimits(const gateway::caller_limits& limits);
 
   entry_duty_options options_;
+  const base::clock& clock_;
+  gateway::metrics& metrics_;
   duty::duty_thread thread_;
   gateway::entry entry_;
   std::unique_ptr<runtime::http_server> callers_;
--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -65,6 +65,14 @@
     std::uint64_t begun_term = 0;  ///< Term that the planner works under.
     bool is_leader = false;
   };
+  /// Datagrams sent to the peers since @c since.
+  struct peer_traffic {
+    base::time_point since{};
+    std::uint64_t full_rounds = 0;     ///< Full status, to every peer.
+    std::uint64_t partial_rounds = 0;  ///< Changes only, to every peer.
+    std::uint64_t datagrams = 0;
+    std::uint64_t bytes = 0;
+  };
   /// What a call of the store was for.
   struct pending_call {
     std::string service;  ///< Empty for the node's own entry.
@@ -92,6 +100,7 @@
   void SendToPeers(const fleet::peer_status& news);
   void SendTo(const std::string& text,
               const boost::asio::ip::udp::endpoint& address);
+  void LogPeerTraffic(base::time_point now);
   base::duration NewsPeriod() const;
   base::duration SharedNewsPeriod() const;
   base::duration Silence() const;
@@ -145,6 +154,7 @@
   boost::asio::ip::udp::endpoint sender_;
   std::vector<char> datagram_;
   std::uint64_t sequence_ = 0;
+  peer_traffic traffic_;
   gateway::load_map own_loads_;
   gateway::queue_length_map own_lines_;
   gateway::load_map told_loads_;  ///< What the peers were told last.
@@ -165,6 +175,8 @@
   runtime::connection_pool pool_;
   telemetry::counter& orders_sent_;
   telemetry::counter& reports_asked_;
+  telemetry::counter& peer_datagrams_;
+  telemetry::counter& peer_bytes_;
   telemetry::counter& peer_sends_failed_;
   telemetry::counter& groups_closed_;
   telemetry::gauge& groups_serving_;
--- a/packages/daemon/fleet_duty_peers.cc
+++ b/packages/daemon/fleet_duty_peers.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/milliseconds.h"
 #include "daemon/fleet_duty.h"
 #include "runtime/fiber_scheduler.h"
 #include "telemetry/log.h"
@@ -24,6 +25,9 @@
 constexpr int kSilentPeriods = 5;
 // News of a suspicion are repeated for so long, since datagrams get lost.
 constexpr milliseconds kSuspicionRepeat{400};
+// Peer traffic is logged for each period in which it exceeds the rate.
+constexpr milliseconds kTrafficPeriod{1000};
+constexpr std::uint64_t kNotableTraffic = 200 * 1024;  // bytes in a period
 constexpr milliseconds kConfigurationRetry{500};
 // An acting node that doesn't reach the store learns nothing of new and leaving
 // replicas; after this another one may act. Shorter troubles are waited out.
@@ -210,11 +214,33 @@
   if (addresses_.empty())
     return;
   const std::string text = fleet::EncodePeerStatus(news);
+  LogPeerTraffic(clock_.Now());
+  ++(news.partial ? traffic_.partial_rounds : traffic_.full_rounds);
   for (const auto& [node, address] : addresses_)
     SendTo(text, address);
 }
 
+// Logs the last period's traffic if it was high, and starts a new period.
+void fleet_duty::LogPeerTraffic(base::time_point now) {
+  if (now - traffic_.since < kTrafficPeriod)
+    return;
+  if (traffic_.bytes >= kNotableTraffic)
+    telemetry::LogChange(
+        "fleet", "peer_traffic",
+        {{"span_ms", base::WholeMilliseconds(now - traffic_.since)},
+         {"full_rounds", traffic_.full_rounds},
+         {"partial_rounds", traffic_.partial_rounds},
+         {"datagrams", traffic_.datagrams},
+         {"bytes", traffic_.bytes}});
+  traffic_ = {};
+  traffic_.since = now;
+}
+
 void fleet_duty::SendTo(const std::string& text, const udp::endpoint& address) {
+  peer_datagrams_.Add();
+  peer_bytes_.Add(text.size());
+  ++traffic_.datagrams;
+  traffic_.bytes += text.size();
   boost::system::error_code error;
   socket_.send_to(boost::asio::buffer(text), address, 0, error);
   // A full buffer or an unreachable peer; the next datagram says it again.
--- a/packages/gateway/metrics.cc
+++ b/packages/gateway/metrics.cc
@@ -23,6 +23,12 @@
                                  "Silences taken for a standing replica")),
       waiting(registry.AddGauge("gateway_waiting", "Requests in the line")),
       running(registry.AddGauge("gateway_running", "Requests in the node")),
+      unread(
+          registry.AddHistogram("gateway_unread_seconds",
+                                "From a request's last byte to its reading")),
+      loop_delay(
+          registry.AddHistogram("gateway_loop_delay_seconds",
+                                "How late timers of the I/O thread fire")),
       queue_wait(registry.AddHistogram("gateway_wait_seconds",
                                        "From arrival to a place")),
       first_event(registry.AddHistogram("gateway_first_event_seconds",
--- a/packages/gateway/metrics.h
+++ b/packages/gateway/metrics.h
@@ -20,6 +20,8 @@
   telemetry::counter& stalls;   ///< Replicas found stalled.
   telemetry::gauge& waiting;
   telemetry::gauge& running;
+  telemetry::histogram& unread;       ///< From the last byte to its reading.
+  telemetry::histogram& loop_delay;   ///< Of a timer of the I/O thread.
   telemetry::histogram& queue_wait;   ///< From arrival to a slot.
   telemetry::histogram& first_event;  ///< From arrival, streams.
   telemetry::histogram& event_gap;
--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -26,6 +26,8 @@
 // A request sent while the replica closes the idle connection fails within
 // this.
 constexpr milliseconds kIdleCloseWindow{100};
+// A request that lay unread for longer is logged.
+constexpr milliseconds kLateRead{250};
 // Of a started stream that lost its replica: before all other requests.
 constexpr int kResumePriority = -1;
 
@@ -71,10 +73,25 @@
     if (upstream_)
       upstream_->Close();
   });
+  LogLateRead();
   if (Validate())
     Serve();
 }
 
+void session::LogLateRead() {
+  const auto unread = exchange_.unread_time();
+  const bool closed = exchange_.caller_closed();
+  if (unread)
+    entry_.metrics_.unread.Observe(*unread);
+  if (!closed && unread.value_or(base::duration::zero()) < kLateRead)
+    return;
+  telemetry::LogChange(
+      "gateway", "read_late",
+      {{"request", head_.id.str()},
+       {"unread_ms", unread ? base::WholeMilliseconds(*unread) : -1},
+       {"caller_closed", closed}});
+}
+
 // Checks the request against the configuration in force.
 // @return whether to serve it; otherwise it has been answered.
 bool session::Validate() {
@@ -239,7 +256,10 @@
     result = attempt_result::kDeadlineExceeded;
   if (result == attempt_result::kNotRun || result == attempt_result::kNotSent)
     may_have_run_ = ran_before;
+  std::int64_t unacknowledged = -1;
   if (upstream_) {
+    if (const auto bytes = upstream_->unacknowledged_at_close())
+      unacknowledged = static_cast<std::int64_t>(*bytes);
     entry_.connections_.Return(std::move(upstream_));
     upstream_.reset();
   }
@@ -260,6 +280,7 @@
                                             entry_.Now() - last_progress_at_)},
                           {"left_ms", base::WholeMilliseconds(RemainingTime())},
                           {"events", splitter_.event_count()},
+                          {"unacknowledged", unacknowledged},
                           {"detail", detail}});
   return result;
 }
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -50,6 +50,7 @@
     std::string body;
   };
 
+  void LogLateRead();
   bool Validate();
   void Serve();
   attempt_result RunAttempt(const grant& granted);
--- a/packages/runtime/http_client.cc
+++ b/packages/runtime/http_client.cc
@@ -6,8 +6,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -131,10 +129,7 @@
 bool http_connection::quiet() {
   if (closed_ || buffer_.size() != 0)
     return false;
-  char peeked = 0;
-  const auto count = ::recv(stream_.socket().native_handle(), &peeked, 1,
-                            MSG_PEEK | MSG_DONTWAIT);
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return PeekSocket(stream_) == socket_state::kQuiet;
 }
 
 void http_connection::ExpectAnother() {
@@ -170,6 +165,8 @@
 }
 
 void http_connection::Close() {
+  if (!closed_ && request_may_have_left_)
+    unacknowledged_at_close_ = UnacknowledgedBytes(stream_);
   closed_ = true;
   reusable_ = false;
   stream_.close();
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -62,6 +62,13 @@
   /// an earlier request was read to its end.
   void ExpectAnother();
 
+  /// @return the bytes that the other end had not acknowledged when the
+  ///         connection closed: they may still arrive. Nothing where it is open
+  ///         or the system doesn't tell.
+  std::optional<std::size_t> unacknowledged_at_close() const {
+    return unacknowledged_at_close_;
+  }
+
   /// @return whether any byte of the last request may have left.
   bool request_may_have_left() const { return request_may_have_left_; }
 
@@ -88,6 +95,7 @@
   bool request_may_have_left_ = false;
   bool reusable_ = false;
   bool closed_ = false;
+  std::optional<std::size_t> unacknowledged_at_close_;
   base::duration announced_idle_{};
 };
 
--- a/packages/runtime/http_server.cc
+++ b/packages/runtime/http_server.cc
@@ -64,6 +64,14 @@
   StopWatching();
 }
 
+bool http_exchange::caller_closed() {
+  return PeekSocket(stream_) == socket_state::kPeerClosed;
+}
+
+std::optional<base::duration> http_exchange::unread_time() {
+  return SinceLastArrival(stream_);
+}
+
 void http_exchange::WatchCaller(std::function<void()> gone) {
   watch_ = std::make_shared<caller_watch>();
   watch_->gone = std::move(gone);
@@ -74,10 +82,7 @@
           return;
         watch->active = false;
         // Readable means either a pipelined request or the end of the stream.
-        char peeked = 0;
-        const auto count = ::recv(stream.socket().native_handle(), &peeked, 1,
-                                  MSG_PEEK | MSG_DONTWAIT);
-        if (count <= 0)
+        if (PeekSocket(stream) != socket_state::kHasBytes)
           watch->gone();
       });
 }
--- a/packages/runtime/http_server.h
+++ b/packages/runtime/http_server.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -54,6 +55,15 @@
 
   const http_request& request() const { return request_; }
 
+  /// @return whether the caller's end has closed. Bytes after the request hide
+  ///         the close.
+  bool caller_closed();
+
+  /// @return the time since the caller's last bytes arrived: right after the
+  ///         request was read, how long it lay unread. Nothing where the system
+  ///         doesn't tell.
+  std::optional<base::duration> unread_time();
+
   /// Calls @p gone at most once, from the event loop, when the caller's end
   /// closes before the answer is complete.
   void WatchCaller(std::function<void()> gone);
--- a/packages/runtime/tcp.cc
+++ b/packages/runtime/tcp.cc
@@ -1,8 +1,11 @@
 #include "runtime/tcp.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <charconv>
 
 namespace flamingoshunt::runtime {
@@ -57,6 +60,33 @@
                                     : host + ":" + port;
 }
 
+socket_state PeekSocket(tcp_stream& stream) {
+  char peeked = 0;
+  const auto count = ::recv(stream.socket().native_handle(), &peeked, 1,
+                            MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0)
+    return socket_state::kHasBytes;
+  const bool quiet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return quiet ? socket_state::kQuiet : socket_state::kPeerClosed;
+}
+
+std::optional<base::duration> SinceLastArrival(tcp_stream& stream) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::getsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_INFO,
+                   &info, &size) != 0)
+    return std::nullopt;
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
+std::optional<std::size_t> UnacknowledgedBytes(tcp_stream& stream) {
+  int bytes = 0;
+  if (::ioctl(stream.socket().native_handle(), SIOCOUTQ, &bytes) != 0 ||
+      bytes < 0)
+    return std::nullopt;
+  return static_cast<std::size_t>(bytes);
+}
+
 void SetSocketOptions(tcp_socket& socket, base::duration silence) {
   SetOptions(socket.native_handle(), silence);
 }
--- a/packages/runtime/tcp.h
+++ b/packages/runtime/tcp.h
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/basic_stream.hpp>
 
+#include <cstddef>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -51,6 +53,23 @@
 /// @return "IP:port".
 std::string FormatAddress(const tcp::endpoint& endpoint);
 
+/// What a read of a socket would give, without taking it.
+enum class socket_state {
+  kQuiet,      ///< Nothing has arrived.
+  kHasBytes,   ///< Bytes are there to read.
+  kPeerClosed  ///< The other end has closed or reset the connection.
+};
+socket_state PeekSocket(tcp_stream& stream);
+
+/// @return how long ago the last bytes arrived, read or not; nothing where the
+///         system doesn't tell.
+std::optional<base::duration> SinceLastArrival(tcp_stream& stream);
+
+/// @return the bytes sent that the other end has not acknowledged; nothing
+/// where
+///         the system doesn't tell.
+std::optional<std::size_t> UnacknowledgedBytes(tcp_stream& stream);
+
 /// Sets no-delay, keepalive and TCP_USER_TIMEOUT, so that the kernel gives up
 /// a connection whose other end stopped acknowledging within @p silence.
 void SetSocketOptions(tcp_socket& socket, base::duration silence);
