Cut answers whose bytes never end

The head had a limit. A body had a timeout for each read, not as a whole, and no size: one byte every 5 ms kept a report, an order or a store call waiting for ever, and a failure, a refusal, an answer to another request, a chunk's header, a trailer or an event without end was collected in memory until the caller left.

The connection's buffer holds 128 KiB of what the parser can't use yet. The gateway reads at most 64 KiB and 50 ms of a body that only frees its connection, 256 KiB of a failure or of one event, and nothing after the deadline.

answer_without_end_is_cut did not end within 60 s before; in answers_without_end_are_cut 17 of 66 checks failed before. Both pass now.

--- a/packages/control/real_outside.cc
+++ b/packages/control/real_outside.cc
@@ -27,14 +27,6 @@
   return plain;
 }
 
-std::string ReadBody(runtime::http_connection& connection,
-                     base::duration timeout) {
-  std::string body;
-  while (connection.ReadSome(body, timeout)) {
-  }
-  return body;
-}
-
 }  // namespace
 
 store::reply real_outside::Perform(const store::call& request) {
@@ -65,10 +57,9 @@
   for (const store::http_header& header : plain.headers)
     message.set(header.name, header.value);
   try {
-    connection.Send(message, request.timeout);
-    const auto head = connection.ReadHead(request.timeout);
-    return store::DecodeReply(
-        request, Plain(head, ReadBody(connection, request.timeout)));
+    auto answer = runtime::Exchange(connection, message, request.timeout);
+    return store::DecodeReply(request,
+                              Plain(answer.head, std::move(answer.body)));
   } catch (const runtime::transport_error&) {
     return store::ReplyWithoutResponse(request,
                                        connection.request_may_have_left());
@@ -82,9 +73,8 @@
   try {
     connection.Connect(address, kAdminTimeout);
     auto message = runtime::MakeRequest(method, target, address);
-    connection.Send(message, kAdminTimeout);
-    const auto head = connection.ReadHead(kAdminTimeout);
-    return admin_answer{head.status, ReadBody(connection, kAdminTimeout)};
+    auto answer = runtime::Exchange(connection, message, kAdminTimeout);
+    return admin_answer{answer.head.status, std::move(answer.body)};
   } catch (const runtime::transport_error&) {
     return std::nullopt;
   }
--- a/packages/daemon/endpoint_control.cc
+++ b/packages/daemon/endpoint_control.cc
@@ -36,13 +36,9 @@
         runtime::MakeRequest("POST", endpoint::kOrderTarget, order.address,
                              endpoint::EncodeOrder(order), "application/json");
     may_have_left = true;
-    connection->Send(message, order_timeout_);
-    const auto head = connection->ReadHead(order_timeout_);
-    std::string body;
-    while (connection->ReadSome(body, order_timeout_)) {
-    }
+    const auto reply = runtime::Exchange(*connection, message, order_timeout_);
     pool_.Return(std::move(connection));
-    return endpoint::ToOrderOutcome(head.status);
+    return endpoint::ToOrderOutcome(reply.head.status);
   } catch (const runtime::transport_error&) {
   } catch (const base::user_error&) {
     // The address in the platform's list is no address.
--- a/packages/daemon/fleet_duty_groups.cc
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -142,11 +142,8 @@
   if (!connection)
     connection = pool_.Open(address, timeout);
   try {
-    runtime::http_reply reply;
-    connection->Send(request, timeout);
-    reply.head = connection->ReadHead(timeout);
-    while (connection->ReadSome(reply.body, timeout)) {
-    }
+    runtime::http_reply reply =
+        runtime::Exchange(*connection, request, timeout);
     pool_.Return(std::move(connection));
     return reply;
   } catch (const runtime::transport_error&) {
--- a/packages/daemon/platform_http.cc
+++ b/packages/daemon/platform_http.cc
@@ -63,13 +63,9 @@
       connection = Open();
     auto message = ToHttp(store::EncodeCall(request), connection->address());
     may_have_left = true;
-    connection->Send(message, request.timeout);
-    const auto head = connection->ReadHead(request.timeout);
-    std::string body;
-    while (connection->ReadSome(body, request.timeout)) {
-    }
-    store::reply reply =
-        store::DecodeReply(request, FromHttp(head, std::move(body)));
+    auto answer = runtime::Exchange(*connection, message, request.timeout);
+    store::reply reply = store::DecodeReply(
+        request, FromHttp(answer.head, std::move(answer.body)));
     reply.id = request.id;
     pool_.Return(std::move(connection));
     return reply;
@@ -110,6 +106,8 @@
       start = end + 1;
     }
     lines.erase(0, start);
+    if (lines.size() > runtime::kMaxReplyBytes)
+      return;
   }
 }
 
--- a/packages/gateway/event_splitter.cc
+++ b/packages/gateway/event_splitter.cc
@@ -6,6 +6,8 @@
 namespace flamingoshunt::gateway {
 namespace {
 
+constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
 // @return the position after the first blank line of @p text, or npos.
 std::size_t FindEventEnd(std::string_view text) {
   const auto lf_pair = text.find("\n\n");
@@ -53,6 +55,10 @@
   return out;
 }
 
+bool event_splitter::exceeds_limit() const {
+  return incomplete_event_.size() > kMaxEventBytes;
+}
+
 void event_splitter::AcceptEvent(std::string_view event, std::string& out) {
   const auto id = ParseEventId(event);
   if (id && last_id_) {
--- a/packages/gateway/event_splitter.h
+++ b/packages/gateway/event_splitter.h
@@ -29,6 +29,10 @@
   /// @return the number of events returned so far.
   std::uint64_t event_count() const { return event_count_; }
 
+  /// @return whether the incomplete event is longer than any valid event: its
+  ///         bytes may come without end.
+  bool exceeds_limit() const;
+
   /// @return whether bytes of an incomplete event are buffered.
   bool has_partial_event() const { return !incomplete_event_.empty(); }
 
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -58,6 +58,8 @@
   attempt_result ReadAnswer(const grant& granted);
   attempt_result RelayEvents(const grant& granted,
                              const runtime::http_response_head& head);
+  void DiscardBody();
+  bool ReadMore(std::string& out);
   attempt_result BufferAnswer(const runtime::http_response_head& head);
   attempt_result RelayLarge(const runtime::http_response_head& head,
                             std::string first);
--- a/packages/gateway/session_answer.cc
+++ b/packages/gateway/session_answer.cc
@@ -17,6 +17,10 @@
 // An answer up to this size is forwarded only when complete, so that the
 // request can be retried on another replica if it is cut off.
 constexpr std::size_t kMaxBufferedAnswerBytes = 256 * 1024;
+// A body that isn't forwarded is read up to this size and for this long, so
+// that its connection can be used again.
+constexpr std::size_t kMaxDiscardedBytes = 64 * 1024;
+constexpr milliseconds kDiscardTimeout{50};
 // Retry-After when every replica tried refused the request.
 constexpr milliseconds kNotRunRetryAfter{300};
 constexpr int kBadGateway = 502;
@@ -46,15 +50,12 @@
     if (!answer.request_id.empty() && answer.request_id != head_.id.str()) {
       // The answer to an earlier request on this connection.
       std::string discarded;
-      while (upstream_->ReadSome(discarded, RemainingTime())) {
-      }
+      upstream_->ReadRest(discarded, kMaxDiscardedBytes, AnswerTimeout());
       upstream_->ExpectAnother();
       continue;
     }
     if (answer.not_run) {
-      std::string discarded;
-      while (upstream_->ReadSome(discarded, RemainingTime())) {
-      }
+      DiscardBody();
       return attempt_result::kNotRun;
     }
     const bool not_from_replica =
@@ -75,6 +76,28 @@
   return attempt_result::kBroken;
 }
 
+// Reads the rest of an answer whose head says all; a connection whose body
+// doesn't end soon is closed.
+void session::DiscardBody() {
+  try {
+    std::string discarded;
+    upstream_->ReadRest(discarded, kMaxDiscardedBytes, kDiscardTimeout);
+  } catch (const runtime::transport_error&) {
+    // The connection is closed, and the head stays valid.
+  }
+}
+
+// Reads more of the answer's body, until the deadline at most.
+bool session::ReadMore(std::string& out) {
+  const base::duration remaining = RemainingTime();
+  if (remaining <= base::duration::zero()) {
+    upstream_->Close();
+    throw runtime::transport_error(runtime::transport_failure::kTimeout,
+                                   "the answer did not end by the deadline");
+  }
+  return upstream_->ReadSome(out, remaining);
+}
+
 session::attempt_result session::RelayEvents(
     const grant& granted,
     const runtime::http_response_head& head) {
@@ -86,7 +109,7 @@
     const std::string out = splitter_.Append(bytes);
     bytes.clear();
     if (out.empty()) {
-      if (splitter_.has_gap())
+      if (splitter_.has_gap() || splitter_.exceeds_limit())
         break;
       continue;
     }
@@ -140,10 +163,13 @@
 session::attempt_result session::BufferAnswer(
     const runtime::http_response_head& head) {
   std::string body;
-  while (upstream_->ReadSome(
-      body, std::max<base::duration>(RemainingTime(), milliseconds(1)))) {
-    if (body.size() > kMaxBufferedAnswerBytes && IsSuccess(head.status))
+  while (ReadMore(body)) {
+    if (body.size() <= kMaxBufferedAnswerBytes)
+      continue;
+    if (IsSuccess(head.status))
       return RelayLarge(head, std::move(body));
+    upstream_->Close();
+    return attempt_result::kBroken;
   }
   if (head.status < kFirstServerError && !PromisesNotRun(head.status)) {
     exchange_.SendWhole(head.status, head.content_type, std::move(body),
@@ -172,8 +198,7 @@
       return attempt_result::kCallerGone;
     }
     bytes.clear();
-  } while (upstream_->ReadSome(
-      bytes, std::max<base::duration>(RemainingTime(), milliseconds(1))));
+  } while (ReadMore(bytes));
   exchange_.EndStream();
   return attempt_result::kComplete;
 }
--- a/packages/runtime/http_client.cc
+++ b/packages/runtime/http_client.cc
@@ -20,6 +20,9 @@
 
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr std::uint32_t kMaxAnswerHeaderBytes = 32 * 1024;
+// Bounds what the parser can't use yet: a chunk's header or the trailer may
+// come without end.
+constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
 constexpr std::size_t kMaxIdlePerAddress = 64;  // connections
 constexpr auto kSilenceBound = std::chrono::seconds(10);
 constexpr int kHttpVersion = 11;  // HTTP/1.1 as Beast counts
@@ -69,7 +72,7 @@
 }  // namespace
 
 http_connection::http_connection(boost::asio::io_context& loop)
-    : stream_(loop.get_executor()) {}
+    : stream_(loop.get_executor()), buffer_(kMaxUnparsedBytes) {}
 
 http_connection::~http_connection() {
   Close();
@@ -145,6 +148,22 @@
   parser_->body_limit(boost::none);
 }
 
+void http_connection::ReadRest(std::string& out,
+                               std::size_t max_bytes,
+                               base::duration timeout) {
+  using std::chrono::steady_clock;
+  const auto deadline = steady_clock::now() + timeout;
+  while (true) {
+    const base::duration remaining = deadline - steady_clock::now();
+    if (remaining <= base::duration::zero())
+      Fail(beast::error::timeout);
+    if (!ReadSome(out, remaining))
+      return;
+    if (out.size() > max_bytes)
+      Fail(http::error::body_limit);
+  }
+}
+
 bool http_connection::ReadSome(std::string& out, base::duration timeout) {
   std::array<char, kReadBytes> bytes;
   while (!parser_->is_done()) {
@@ -222,6 +241,16 @@
   idle_.erase(address);
 }
 
+http_reply Exchange(http_connection& connection,
+                    http_request& request,
+                    base::duration timeout) {
+  http_reply reply;
+  connection.Send(request, timeout);
+  reply.head = connection.ReadHead(timeout);
+  connection.ReadRest(reply.body, kMaxReplyBytes, timeout);
+  return reply;
+}
+
 http_reply Fetch(connection_pool& pool,
                  const std::string& address,
                  http_request request,
@@ -232,11 +261,7 @@
     if (fresh)
       connection = pool.Open(address, timeout);
     try {
-      http_reply reply;
-      connection->Send(request, timeout);
-      reply.head = connection->ReadHead(timeout);
-      while (connection->ReadSome(reply.body, timeout)) {
-      }
+      http_reply reply = Exchange(*connection, request, timeout);
       pool.Return(std::move(connection));
       return reply;
     } catch (const transport_error&) {
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -48,6 +48,14 @@
   /// Waits for the head of the answer. @throws transport_error.
   http_response_head ReadHead(base::duration timeout);
 
+  /// Appends the rest of the body to @p out.
+  /// @param max_bytes of @p out; a longer body is an error (kMalformed).
+  /// @param timeout   bounds the whole body, however its bytes arrive.
+  /// @throws transport_error.
+  void ReadRest(std::string& out,
+                std::size_t max_bytes,
+                base::duration timeout);
+
   /// Appends what has arrived of the body to @p out, at least one byte.
   /// @param timeout kNoTimeout for none.
   /// @return false at the end of a complete body. @throws transport_error, also
@@ -142,10 +150,20 @@
   std::string body;
 };
 
+/// Longest body of an answer that is read into memory as a whole.
+inline constexpr std::size_t kMaxReplyBytes = 16 * 1024 * 1024;
+
+/// Sends one request on @p connection and reads its whole answer.
+/// @param timeout bounds the writing, the head and the body, each as a whole.
+/// @throws transport_error, also for a body above kMaxReplyBytes.
+http_reply Exchange(http_connection& connection,
+                    http_request& request,
+                    base::duration timeout);
+
 /// Sends one request and reads its whole answer, over an idle connection where
 /// there is one; a fresh one is tried once when the idle one proves dead, which
 /// makes this fit only for requests that may be repeated.
-/// @param timeout bounds each step. @throws transport_error.
+/// @param timeout as of Exchange. @throws transport_error.
 http_reply Fetch(connection_pool& pool,
                  const std::string& address,
                  http_request request,
