--- a/packages/fleet/peer_outbox.cc
+++ b/packages/fleet/peer_outbox.cc
@@ -8,10 +8,11 @@
 namespace {
 
 constexpr double kBytesPerMegabit = 1e6 / 8;
-// Part of the link that peer traffic may use; requests and answers need the
-// rest.
+// Part of the link that peer traffic may use; most of it is for requests and
+// answers.
 constexpr double kLinkShare = 0.25;
-// What may be sent at once: so long it delays a request on the link.
+// What may be sent at once, as time on the link: the longest delay of a request
+// by one burst.
 constexpr double kBurstSeconds = 0.1;
 
 double Seconds(base::duration length) {
--- a/packages/fleet/peer_outbox.h
+++ b/packages/fleet/peer_outbox.h
@@ -54,8 +54,8 @@
   double BytesAvailable(base::time_point now) const;
 
   peer_traffic_limit limit_;
-  double available_ =
-      0;  ///< At @c available_at_; negative after a large round.
+  /// In bytes, at @c available_at_; negative after a large round.
+  double available_ = 0;
   base::time_point available_at_{};
   bool changes_due_ = false;
   bool full_due_ = false;
--- a/packages/gateway/event_splitter.cc
+++ b/packages/gateway/event_splitter.cc
@@ -6,6 +6,7 @@
 namespace flamingoshunt::gateway {
 namespace {
 
+// An incomplete event above this is taken for bytes that never end.
 constexpr std::size_t kMaxEventBytes = 256 * 1024;
 
 // @return the position after the first blank line of @p text, or npos.
--- a/packages/gateway/session_answer.cc
+++ b/packages/gateway/session_answer.cc
@@ -76,8 +76,8 @@
   return attempt_result::kBroken;
 }
 
-// Reads the rest of an answer whose head says all; a connection whose body
-// doesn't end soon is closed.
+// Reads a body that isn't needed, so that its connection can be used again. If
+// the body doesn't end soon, the connection is closed instead.
 void session::DiscardBody() {
   try {
     std::string discarded;
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -48,7 +48,7 @@
   /// Waits for the head of the answer. @throws transport_error.
   http_response_head ReadHead(base::duration timeout);
 
-  /// Appends the rest of the body to @p out.
+  /// Appends the remaining body to @p out.
   /// @param max_bytes of @p out; a longer body is an error (kMalformed).
   /// @param timeout   bounds the whole body, however its bytes arrive.
   /// @throws transport_error.
@@ -77,8 +77,8 @@
   void ExpectAnother();
 
   /// @return the bytes that the other end had not acknowledged when the
-  ///         connection closed: they may still arrive. Nothing where it is open
-  ///         or the system doesn't tell.
+  ///         connection closed before the end of an answer; empty otherwise, or
+  ///         where the system doesn't count them.
   std::optional<std::size_t> unacknowledged_at_close() const {
     return unacknowledged_at_close_;
   }
--- a/packages/runtime/http_server.h
+++ b/packages/runtime/http_server.h
@@ -60,8 +60,8 @@
   bool caller_closed();
 
   /// @return the time since the caller's last bytes arrived: right after the
-  ///         request was read, how long it lay unread. Nothing where the system
-  ///         doesn't tell.
+  ///         request was read, how long it lay unread. Empty where the system
+  ///         doesn't measure it.
   std::optional<base::duration> unread_time();
 
   /// Calls @p gone at most once, from the event loop, when the caller's end
--- a/packages/runtime/tcp.h
+++ b/packages/runtime/tcp.h
@@ -61,8 +61,8 @@
 };
 socket_state PeekSocket(tcp_stream& stream);
 
-/// @return how long ago the last bytes arrived, read or not; nothing where the
-///         system doesn't tell.
+/// @return how long ago the last bytes arrived, read or not; empty where the
+///         system doesn't measure it.
 std::optional<base::duration> SinceLastArrival(tcp_stream& stream);
 
 /// @return the bytes sent that the other end has not acknowledged; nothing
--- a/packages/runtime/tests/unresponsive_server.h
+++ b/packages/runtime/tests/unresponsive_server.h
@@ -1,5 +1,5 @@
-// Defines a server for tests that accepts connections but reads nothing until
-// it is told to, so that what is sent to it waits in the sender's buffer.
+// Defines a server for tests that accepts connections but reads only when the
+// test calls it, so that what is sent to it waits in the sender's buffer.
 #ifndef FLAMINGOSHUNT_RUNTIME_TESTS_UNRESPONSIVE_SERVER_H_
 #define FLAMINGOSHUNT_RUNTIME_TESTS_UNRESPONSIVE_SERVER_H_
 
--- a/tests/native/peer_traffic_test.cc
+++ b/tests/native/peer_traffic_test.cc
@@ -1,5 +1,5 @@
-// Tests that what a node tells its peers leaves its link to the requests, at
-// the moment when it has most to tell.
+// Tests that the status a node sends its peers leaves its link to the requests,
+// also when many replicas fail at once.
 #include <boost/asio/ip/udp.hpp>
 
 #include <catch2/catch.hpp>
