--- a/packages/gateway/crash_guard.cc
+++ b/packages/gateway/crash_guard.cc
@@ -21,6 +21,11 @@
   return crashes.replicas.insert(report.replica).second;
 }
 
+std::size_t crash_guard::Crashes(base::fingerprint request) const {
+  const auto it = histories_by_request_.find(request);
+  return it == histories_by_request_.end() ? 0 : it->second.replicas.size();
+}
+
 bool crash_guard::ShouldRefuse(base::fingerprint request,
                                base::time_point now) const {
   const auto it = histories_by_request_.find(request);
--- a/packages/gateway/crash_guard.h
+++ b/packages/gateway/crash_guard.h
@@ -41,6 +41,9 @@
   /// @return whether this report is new and should be sent to the peers.
   bool Record(const crash_report& report, base::time_point now);
 
+  /// @return the replicas that crashed while they ran @p request.
+  std::size_t Crashes(base::fingerprint request) const;
+
   /// @return whether @p request has crashed too many replicas.
   bool ShouldRefuse(base::fingerprint request, base::time_point now) const;
 
--- a/packages/gateway/entry.cc
+++ b/packages/gateway/entry.cc
@@ -65,7 +65,7 @@
   if (update.allowance)
     retry_budget_.SetAllowance(*update.allowance);
   for (const crash_report& report : update.crashes)
-    crash_guard_.Record(report, now);
+    CountCrash(report, "peer");
   for (const base::instance_id& replica : update.suspects) {
     dispatcher_.Suspect(replica, now + kSuspicionDuration);
     for (session* running_session : sessions_)
@@ -207,8 +207,19 @@
   DeliverDecisions(dispatcher_.ClearSuspicion(replica, Now()));
 }
 
-void entry::ReportCrash(const crash_report& report) {
+bool entry::CountCrash(const crash_report& report, std::string_view observer) {
   if (!crash_guard_.Record(report, Now()))
+    return false;
+  telemetry::LogChange("gateway", "crash_counted",
+                       {{"fingerprint", report.request.value()},
+                        {"instance", report.replica.str()},
+                        {"observer", observer},
+                        {"crashes", crash_guard_.Crashes(report.request)}});
+  return true;
+}
+
+void entry::ReportCrash(const crash_report& report) {
+  if (!CountCrash(report, "self"))
     return;
   new_crashes_.push_back(report);
   send_update_(CollectUpdate());
--- a/packages/gateway/entry.h
+++ b/packages/gateway/entry.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -116,6 +117,9 @@
   /// Records an event of @p replica and ends its suspicion.
   void RecordActivity(const base::instance_id& replica);
   void ReportCrash(const crash_report& report);
+  /// @param observer "self" or "peer".
+  /// @return whether the crash was unknown.
+  bool CountCrash(const crash_report& report, std::string_view observer);
   void DeliverDecisions(decisions results);
   void ArmTimer();
   void CheckStalls();
--- a/packages/gateway/protocol.h
+++ b/packages/gateway/protocol.h
@@ -26,6 +26,9 @@
   std::int64_t expected_output_tokens = 0;  ///< 0 without an estimate.
   std::optional<std::uint64_t>
       resume_after;  ///< Id of the caller's last event.
+  /// Parts of the prompt that other requests may share, in order; without the
+  /// last one, which belongs to the request or its session.
+  std::vector<base::fingerprint> shared_prompt_parts;
 };
 
 /// Fields that the gateway adds for an endpoint about one attempt.
--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -40,6 +40,17 @@
   return target.substr(0, target.find('?'));
 }
 
+// @return the parts as they appear in logs, separated by blanks.
+std::string Join(const std::vector<base::fingerprint>& parts) {
+  std::string text;
+  for (const base::fingerprint part : parts) {
+    if (!text.empty())
+      text += ' ';
+    text += std::to_string(part.value());
+  }
+  return text;
+}
+
 std::string_view ToStd(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -281,6 +292,7 @@
                           {"left_ms", base::WholeMilliseconds(RemainingTime())},
                           {"events", splitter_.event_count()},
                           {"unacknowledged", unacknowledged},
+                          {"prompt_parts", Join(head_.shared_prompt_parts)},
                           {"detail", detail}});
   return result;
 }
