--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -35,6 +36,9 @@
       head.time_budget = milliseconds(*ms);
     if (const auto last_event = Number(request["Last"]))
       head.resume_after = static_cast<std::uint64_t>(*last_event);
+    std::istringstream parts(Text(request["Parts"]));
+    for (std::uint64_t part = 0; parts >> part;)
+      head.shared_prompt_parts.emplace_back(part);
     return head;
   }
 
