Don't send a request again to a replica that had begun its answer

A retryable request on a pooled connection is sent again to the same replica when the connection closes within 100 ms, as if it had crossed the close of an idle connection. A replica that crashes as it begins its answer looks the same: the request reached it, or the process that replaced it, once more. A connection on which the head of the answer has arrived was not idle.

--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -243,6 +243,7 @@
   tried_replicas_.push_back(granted.replica.instance);
   current_replica_ = granted.replica.instance;
   replica_stalled_ = false;
+  attempt_has_head_ = false;
   attempt_has_event_ = false;
   stall_reported_ = false;
   expected_ = granted.expected;
@@ -332,7 +333,8 @@
     // The replica closed the idle connection while the request was in flight;
     // only retryable requests use pooled connections, so it is sent again.
     const bool closed_while_idle =
-        pooled && !response_started_ && !caller_gone_ && !replica_stalled_ &&
+        pooled && !attempt_has_head_ && !response_started_ && !caller_gone_ &&
+        !replica_stalled_ &&
         error.failure() == runtime::transport_failure::kClosed &&
         entry_.Now() - last_progress_at_ < kIdleCloseWindow &&
         entry_.retry_budget_.TryRetry(service_, entry_.Now());
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -97,6 +97,7 @@
   std::optional<base::instance_id>
       current_replica_;             ///< Of the current attempt.
   bool replica_stalled_ = false;    ///< In the current attempt.
+  bool attempt_has_head_ = false;   ///< Of an answer; in the current attempt.
   bool attempt_has_event_ = false;  ///< In the current attempt.
   bool stall_reported_ = false;     ///< Since the last event.
   work_estimate expected_;          ///< Of the current attempt.
--- a/packages/gateway/session_answer.cc
+++ b/packages/gateway/session_answer.cc
@@ -46,6 +46,7 @@
 session::attempt_result session::ReadAnswer(const grant& granted) {
   for (int stray = 0; stray <= kMaxStrayAnswers; ++stray) {
     const auto head = upstream_->ReadHead(AnswerTimeout());
+    attempt_has_head_ = true;
     const answer_head answer = entry_.protocol_.ReadAnswer(head);
     if (!answer.request_id.empty() && answer.request_id != head_.id.str()) {
       // The answer to an earlier request on this connection.
