Retry a stream whose connection ends before its first event

A replica may answer with neither a length nor chunks and end the answer with the connection. If it crashed as it began such a stream, its caller got an empty stream as a complete success, and the crash wasn't counted. A stream that isn't delimited and has no event, and that doesn't resume another one, has been broken off.

--- a/packages/gateway/session_answer.cc
+++ b/packages/gateway/session_answer.cc
@@ -154,6 +154,11 @@
     upstream_->Close();
     return attempt_result::kBroken;
   }
+  const bool empty = !attempt_has_event_ && !splitter_.last_id();
+  if (empty && !upstream_->is_delimited())
+    throw runtime::transport_error(
+        runtime::transport_failure::kClosed,
+        granted.replica.address + ": the stream ended before its first event");
   if (!response_started_) {
     response_started_ = true;
     exchange_.StartStream(head.status, head.content_type,
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -72,6 +72,10 @@
   ///         connection unfit for another request.
   bool quiet();
 
+  /// @return whether the answer whose head was read has a length or chunks, so
+  ///         that its end differs from the end of the connection.
+  bool is_delimited() const { return parser_ && !parser_->need_eof(); }
+
   /// Reads the next answer on the same connection, after one that belonged to
   /// an earlier request was read to its end.
   void ExpectAnother();
--- a/packages/runtime/tests/endless_server.h
+++ b/packages/runtime/tests/endless_server.h
@@ -1,5 +1,5 @@
-// Defines a server for tests that answers every request with bytes that don't
-// end until the client closes the connection.
+// Defines a server for tests that answers every request with given bytes. They
+// don't end until the client closes the connection, or end with it.
 #ifndef FLAMINGOSHUNT_RUNTIME_TESTS_ENDLESS_SERVER_H_
 #define FLAMINGOSHUNT_RUNTIME_TESTS_ENDLESS_SERVER_H_
 
@@ -23,7 +23,8 @@
 class endless_server {
  public:
   /// @param start  the first bytes of each answer.
-  /// @param filler follows every @p pause, for ever.
+  /// @param filler follows every @p pause, for ever; if empty, the connection
+  ///        is closed instead.
   endless_server(boost::asio::io_context& loop,
                  std::string start,
                  std::string filler,
@@ -86,9 +87,13 @@
         });
         sent += last.bytes;
         next = &filler;
+        if (filler.empty())
+          break;
         boost::this_fiber::sleep_for(pause);
       }
       --open;
+      boost::system::error_code ignored;
+      socket.close(ignored);
     }
 
     boost::asio::io_context& loop;
