Log the rate limit that a replica names in its answers

A replica in need names the requests a second that it takes from all nodes together. The logs didn't show it; gateway.done now has the limit that the last replica of a request named. No decision depends on it yet.

--- a/packages/gateway/protocol.h
+++ b/packages/gateway/protocol.h
@@ -47,6 +47,9 @@
   bool not_run = false;          ///< The endpoint confirms that it did not run.
   bool signed_body = false;      ///< Carries a replica's signature.
   bool content_encoded = false;  ///< No replica encodes its answers.
+  /// Requests a second that the replica accepts from all nodes together, until
+  /// an answer names another rate or none.
+  std::optional<double> rate_limit;
 };
 
 /// Encodes and decodes messages to callers and endpoints.
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -109,7 +109,8 @@
   base::duration first_event_delay_{};
   base::time_point last_event_at_;  ///< Across all attempts.
   base::duration longest_gap_{};
-  int status_ = 200;  ///< Of the forwarded answer.
+  int status_ = 200;                  ///< Of the forwarded answer.
+  std::optional<double> rate_limit_;  ///< Named by the last replica.
   std::vector<base::instance_id> tried_replicas_;
   int attempts_sent_ = 0;  ///< Attempts that sent the request.
   bool may_have_run_ = false;
--- a/packages/gateway/session_answer.cc
+++ b/packages/gateway/session_answer.cc
@@ -55,6 +55,7 @@
       upstream_->ExpectAnother();
       continue;
     }
+    rate_limit_ = answer.rate_limit;
     if (answer.not_run) {
       DiscardBody();
       return attempt_result::kNotRun;
@@ -305,6 +306,7 @@
        {"first_event_ms", base::WholeMilliseconds(first_event_delay_)},
        {"longest_gap_ms", base::WholeMilliseconds(longest_gap_)},
        {"events", splitter_.last_id().value_or(0)},
+       {"rate_limit", rate_limit_.value_or(-1)},
        {"took_ms", base::WholeMilliseconds(entry_.Now() - arrived_at_)}});
 }
 
