--- a/packages/gateway/tests/correctness/nodes_share_the_rate_limit_of_a_replica.cc
+++ b/packages/gateway/tests/correctness/nodes_share_the_rate_limit_of_a_replica.cc
@@ -20,10 +20,10 @@
 constexpr int kServiceMs = 300;
 constexpr int kPeerUpdateMs = 10;
 constexpr int kTickMs = 20;
-// Bounds of the deployment's rules.
+// Bound of the deployment's rules, without the five requests that it allows for
+// those under way.
 constexpr int kWindowMs = 4'000;
 constexpr double kTolerance = 1.5;
-constexpr double kSlack = 5;
 
 const base::instance_id kLimited("h0");
 
