--- a/packages/gateway/prompt_part_guard.cc
+++ b/packages/gateway/prompt_part_guard.cc
@@ -65,7 +65,7 @@
 bool prompt_part_guard::NoteCrash(const crash& newer, base::time_point now) {
   bool explained = false;
   for (const base::fingerprint part : newer.parts) {
-    history& of = Find(part, now);
+    history& of = FindOrCreate(part, now);
     of.last_crash_at = std::max(of.last_crash_at.value_or(newer.observed_at),
                                 newer.observed_at);
     recently_crashed_.insert(part);
@@ -85,7 +85,7 @@
   if (NoteCrash(newer, now))
     return std::nullopt;
   for (const base::fingerprint part : report.prompt_parts)
-    AddCrash(Find(part, now), newer, now);
+    AddCrash(FindOrCreate(part, now), newer, now);
   const auto culprit = FindCulprit(report.prompt_parts);
   if (culprit)
     Blame(*culprit);
@@ -146,20 +146,20 @@
 
 bool prompt_part_guard::RecordAnswer(base::fingerprint part,
                                      base::time_point now) {
-  history& of = Find(part, now);
+  history& of = FindOrCreate(part, now);
   of.own_answer_at = now;
   return OnAnswer(of, now);
 }
 
 bool prompt_part_guard::ApplyAnswer(const part_sighting& answer,
                                     base::time_point now) {
-  return OnAnswer(Find(answer.part, now), now - answer.age);
+  return OnAnswer(FindOrCreate(answer.part, now), now - answer.age);
 }
 
 bool prompt_part_guard::ApplyBlame(const part_sighting& crash_sighting,
                                    base::time_point now) {
   const auto crash_at = now - crash_sighting.age;
-  history& of = Find(crash_sighting.part, now);
+  history& of = FindOrCreate(crash_sighting.part, now);
   of.last_crash_at = std::max(of.last_crash_at.value_or(crash_at), crash_at);
   recently_crashed_.insert(crash_sighting.part);
   if (of.blamed || crash_sighting.age >= kEvidenceLifetime ||
@@ -220,8 +220,9 @@
   return answers;
 }
 
-prompt_part_guard::history& prompt_part_guard::Find(base::fingerprint part,
-                                                    base::time_point now) {
+prompt_part_guard::history& prompt_part_guard::FindOrCreate(
+    base::fingerprint part,
+    base::time_point now) {
   if (histories_.size() >= kMaxParts && !histories_.contains(part))
     Evict(now);
   history& of = histories_[part];
--- a/packages/gateway/prompt_part_guard.h
+++ b/packages/gateway/prompt_part_guard.h
@@ -115,7 +115,7 @@
   static std::size_t ConsecutiveCrashes(const history& of);
   static void AddCrash(history& of, const crash& newer, base::time_point now);
   static bool OnAnswer(history& of, base::time_point answered_at);
-  history& Find(base::fingerprint part, base::time_point now);
+  history& FindOrCreate(base::fingerprint part, base::time_point now);
   bool NoteCrash(const crash& newer, base::time_point now);
   std::optional<base::fingerprint> FindCulprit(
       const std::vector<base::fingerprint>& parts) const;
