--- a/packages/gateway/prompt_part_guard.h
+++ b/packages/gateway/prompt_part_guard.h
@@ -48,7 +48,7 @@
   /// How long crashes and a blame count. After that, a single crash renews the
   /// blame.
   static constexpr base::duration kEvidenceLifetime = std::chrono::minutes(5);
-  /// How long after a crash the peers are told that its parts are sound.
+  /// How long after a crash the peers are told of answers on its parts.
   static constexpr base::duration kVouchingTime = std::chrono::seconds(10);
   /// Interval between two such messages about one part.
   static constexpr base::duration kVouchingPeriod =
