--- a/packages/gateway/dispatcher.h
+++ b/packages/gateway/dispatcher.h
@@ -108,7 +108,7 @@
   }
 
   /// An answer of @p replica named this limit in requests a second, or none.
-  /// @return whether that is news.
+  /// @return whether the limit changed.
   bool RecordLimit(const base::instance_id& replica,
                    std::optional<double> requests_per_second,
                    base::time_point now) {
--- a/packages/gateway/replica_limits.h
+++ b/packages/gateway/replica_limits.h
@@ -6,8 +6,7 @@
 // requests wait for.
 //
 // Load pattern: many replicas turn slow at once and name half of their usual
-// rate, while demand goes on; they must recover, and the rest must not be
-// overrun.
+// rate, while demand stays the same.
 #ifndef FLAMINGOSHUNT_GATEWAY_REPLICA_LIMITS_H_
 #define FLAMINGOSHUNT_GATEWAY_REPLICA_LIMITS_H_
 
@@ -46,7 +45,7 @@
   static constexpr base::duration kEndedLifetime = std::chrono::seconds(10);
 
   /// The replica named this limit, or none, in an answer to this node.
-  /// @return whether that is news.
+  /// @return whether the limit changed.
   bool OnAnswer(const base::instance_id& replica,
                 std::optional<double> requests_per_second,
                 base::time_point now);
