Step the fleet duty once for a batch of deliveries, not for each

Cause: each entry of the store's list and each answer to an order rebuilt the view of the fleet and stepped the planner. With 875 replicas the start alone made some thousand views at each node, each of a hundred targets.

Now a step is posted once and handles all that was received meanwhile.

--- a/packages/daemon/fleet_duty.cc
+++ b/packages/daemon/fleet_duty.cc
@@ -72,6 +72,9 @@
                                               "Configuration in force")) {
   const auto& listen = settings_.listen.peer;
   socket_.open(udp::v4());
+      views_published_(
+          metrics.AddCounter("fleet_views_total",
+                             "Views of the fleet sent to the request path")),
   boost::system::error_code error;
   socket_.bind({boost::asio::ip::make_address(listen.ip), listen.port}, error);
   if (error)
@@ -252,3 +255,4 @@
 }
 
 }  // namespace flamingoshunt::daemon
+    views_published_.Add();
--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -161,6 +161,9 @@
   /// replica is leaving.
   void LearnLeavingFrom(const base::instance_id& id,
                         const runtime::http_response_head& head);
+  /// Steps once after the messages that are being handled now: a list or a
+  /// round of orders ends in hundreds of them.
+  void StepSoon();
   void LogChanges(const std::string& name, acting_service& of);
 
   // The entry thread:
@@ -244,3 +247,5 @@
 }  // namespace flamingoshunt::daemon
 
 #endif  // FLAMINGOSHUNT_DAEMON_FLEET_DUTY_H_
+  bool step_due_ = false;  ///< StepSoon has posted a step.
+  telemetry::counter& views_published_;
--- a/packages/daemon/fleet_duty_groups.cc
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -1,4 +1,6 @@
 // How a node acts for the groups of a service: steps, orders and questions.
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -56,6 +58,15 @@
 
 void fleet_duty::ExpireEntries(base::time_point now) {
   for (const base::instance_id& id : replicas_.Expire(now)) {
+void fleet_duty::StepSoon() {
+  if (std::exchange(step_due_, true))
+    return;
+  boost::asio::post(thread_.loop(), [this] {
+    step_due_ = false;
+    Step();
+  });
+}
+
     telemetry::LogChange("fleet", "replica_not_back", {{"instance", id.str()}});
     for (auto& [name, of] : services_)
       of->planner.OnUnlisted(id);
@@ -183,7 +194,7 @@
   of.planner.OnOrderResult(order, result, clock_.Now());
   if (result == fleet::order_result::kFenced)
     of.term.OnFenced(clock_.Now());
-  Step();
+  StepSoon();
 }
 
 void fleet_duty::LearnLeavingFrom(const base::instance_id& id,
@@ -222,7 +233,7 @@
                          {{"instance", id.str()}, {"refused", refused}});
     of.planner.OnUnreachable(id, refused, clock_.Now());
   }
-  Step();
+  StepSoon();
 }
 
 }  // namespace flamingoshunt::daemon
--- a/packages/daemon/fleet_duty_store.cc
+++ b/packages/daemon/fleet_duty_store.cc
@@ -77,9 +77,7 @@
     TakeEvent(*event);
   else
     TakeReply(std::get<store::reply>(delivery));
-  if (view_due_)
-    Publish();
-  Step();
+  StepSoon();
 }
 
 void fleet_duty::TakeEvent(const store::watch_event& event) {
--- a/packages/daemon/gateway_node.h
+++ b/packages/daemon/gateway_node.h
@@ -35,6 +35,8 @@
   /// @return whether everything completed.
   bool StopGracefully();
 
+  const telemetry::metric_registry& metrics() const { return registry_; }
+
   std::string caller_address() const { return entry_.caller_address(); }
   std::string ready_address() const { return entry_.ready_address(); }
 
