Inform the nodes of large fleets through relays

Cause: each placement was one datagram to each other node. At 195 nodes and a thousand requests a second that is two hundred thousand datagrams a second; each node handled a thousand JSON texts a second, and summed the queues of 194 peers for each. Ruled out: callers' connections and the store's rate (the plain service beside it was served), forming (91 groups served six seconds before the traffic).

Above 32 nodes each node now reports to the relay of its failure domain. Announcements travel once, and are sent again to whoever's version is older. Smaller fleets, and fleets in which most nodes run an older program, keep the datagrams from each to each.

Open: a report to a relay that has just died is lost until the next one, 0.6 s later; a failure domain with several hundred nodes has one relay.

--- a/packages/daemon/fleet_duty.cc
+++ b/packages/daemon/fleet_duty.cc
@@ -48,6 +48,9 @@
             [this](gateway::entry_update&& news) {
               TakeEntryNews(std::move(news));
             }),
+      relays_(self_, incarnation),
+      relayed_loads_(self_),
+      relay_timer_(thread_.loop(), [this] { TickRelays(); }),
       socket_(thread_.loop()),
       datagram_(kDatagramBytes),
       outbox_(fleet::peer_traffic_limit::ForLink(settings.gateway->link_mbps)),
@@ -64,17 +67,21 @@
       peer_sends_failed_(metrics.AddCounter(
           "fleet_peer_sends_failed_total",
           "Datagrams to peers that the system did not take")),
+      peer_datagrams_dropped_(
+          metrics.AddCounter("fleet_peer_datagrams_dropped_total",
+                             "Datagrams that are no status of a node")),
       groups_closed_(metrics.AddCounter("fleet_groups_closed_total",
                                         "Groups that stopped serving")),
+      views_published_(
+          metrics.AddCounter("fleet_views_total",
+                             "Views of the fleet sent to the request path")),
       groups_serving_(metrics.AddGauge("fleet_groups_serving",
                                        "Groups that take requests")),
       configuration_version_(metrics.AddGauge("fleet_configuration_version",
                                               "Configuration in force")) {
+  nodes_[self_] = {settings_.self.failure_domain, settings_.gateway->cores};
   const auto& listen = settings_.listen.peer;
   socket_.open(udp::v4());
-      views_published_(
-          metrics.AddCounter("fleet_views_total",
-                             "Views of the fleet sent to the request path")),
   boost::system::error_code error;
   socket_.bind({boost::asio::ip::make_address(listen.ip), listen.port}, error);
   if (error)
@@ -249,10 +256,10 @@
         view->targets[name] = TargetsOf(service);
     }
     update.view = std::move(view);
+    views_published_.Add();
   }
   view_due_ = false;
   updates_->Send(std::move(update));
 }
 
 }  // namespace flamingoshunt::daemon
-    views_published_.Add();
--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -21,6 +21,8 @@
 #include "fleet/deployment.h"
 #include "fleet/peer_outbox.h"
 #include "fleet/peer_status.h"
+#include "fleet/relay_network.h"
+#include "fleet/relayed_loads.h"
 #include "fleet/replica_directory.h"
 #include "gateway/entry.h"
 #include "groups/leader_election.h"
@@ -117,7 +119,17 @@
 
   // Peers:
   void Receive();
-  void TakeNews(const fleet::peer_status& news);
+  /// @param direct whether the author of @p news sent it, not a relay.
+  void TakeNews(const fleet::peer_status& news, bool direct);
+  /// Applies what is in @p news besides the state of its sender.
+  void ApplyNews(const fleet::peer_status& news);
+  void TakeAnnouncements(const fleet::peer_status& news);
+  void TakeConfigurationVersion(const fleet::peer_status& news);
+  bool ApplyDigest(const fleet::peer_status& digest);
+  /// Sends and applies what the relays' network wants sent and applied.
+  void Perform(const fleet::relay_effects& effects);
+  void TickRelays();
+  void ArmRelayTimer();
   void TakeSuspects(const fleet::peer_status& news,
                     gateway::fleet_update& update);
   /// Sends the round that is due to the peers, if the limit allows it now.
@@ -145,9 +157,13 @@
   base::duration SharedNewsPeriod() const;
   base::duration Silence() const;
   bool StoreReachable() const;
+  bool AnyNodeSeenRequests() const;
 
   // Groups:
   void Step();
+  /// Steps once after the messages that are being handled now: a list or a
+  /// round of orders ends in hundreds of them.
+  void StepSoon();
   void ArmTimer();
   void StepService(const std::string& name, acting_service& of);
   void Carry(const std::string& name, const groups::plan& plan);
@@ -161,9 +177,6 @@
   /// replica is leaving.
   void LearnLeavingFrom(const base::instance_id& id,
                         const runtime::http_response_head& head);
-  /// Steps once after the messages that are being handled now: a list or a
-  /// round of orders ends in hundreds of them.
-  void StepSoon();
   void LogChanges(const std::string& name, acting_service& of);
 
   // The entry thread:
@@ -198,7 +211,13 @@
   bool registering_ = false;
   base::time_point register_not_before_{};
   std::map<base::node_id, boost::asio::ip::udp::endpoint> addresses_;
+  std::map<base::node_id, fleet::fleet_node> nodes_;  ///< This one included.
+  bool nodes_changed_ = true;  ///< Since the relays' network got them.
   fleet::peer_table peers_;
+  fleet::relay_network relays_;
+  fleet::relayed_loads relayed_loads_;
+  std::vector<base::node_id> report_targets_;  ///< Of the last report.
+  duty::timer relay_timer_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
   std::vector<char> datagram_;
@@ -232,6 +251,7 @@
   fleet::departure_reports departure_reports_;
 
   bool view_due_ = false;
+  bool step_due_ = false;  ///< StepSoon has posted a step.
   duty::timer timer_;
   runtime::connection_pool pool_;
   telemetry::counter& orders_sent_;
@@ -239,7 +259,9 @@
   telemetry::counter& peer_datagrams_;
   telemetry::counter& peer_bytes_;
   telemetry::counter& peer_sends_failed_;
+  telemetry::counter& peer_datagrams_dropped_;
   telemetry::counter& groups_closed_;
+  telemetry::counter& views_published_;
   telemetry::gauge& groups_serving_;
   telemetry::gauge& configuration_version_;
 };
@@ -247,5 +269,3 @@
 }  // namespace flamingoshunt::daemon
 
 #endif  // FLAMINGOSHUNT_DAEMON_FLEET_DUTY_H_
-  bool step_due_ = false;  ///< StepSoon has posted a step.
-  telemetry::counter& views_published_;
--- a/packages/daemon/fleet_duty_groups.cc
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -24,12 +24,14 @@
 void fleet_duty::Step() {
   const auto now = clock_.Now();
   TakeOutage();
+  if (std::exchange(nodes_changed_, false))
+    relays_.SetNodes(nodes_, now);
   // While the platform is unreachable, no entry can return or lapse.
   if (StoreReachable())
     ExpireEntries(now);
   Register();
   const bool may_load_freely = settings_.gateway->first_start &&
-                               !seen_requests_ && !peers_.AnyPeerSeenRequests();
+                               !seen_requests_ && !AnyNodeSeenRequests();
   for (auto& [name, of] : services_) {
     if (!may_load_freely)
       of->planner.OnFirstRequest();
@@ -56,8 +58,6 @@
   ArmTimer();
 }
 
-void fleet_duty::ExpireEntries(base::time_point now) {
-  for (const base::instance_id& id : replicas_.Expire(now)) {
 void fleet_duty::StepSoon() {
   if (std::exchange(step_due_, true))
     return;
@@ -67,6 +67,8 @@
   });
 }
 
+void fleet_duty::ExpireEntries(base::time_point now) {
+  for (const base::instance_id& id : replicas_.Expire(now)) {
     telemetry::LogChange("fleet", "replica_not_back", {{"instance", id.str()}});
     for (auto& [name, of] : services_)
       of->planner.OnUnlisted(id);
--- a/packages/daemon/fleet_duty_peers.cc
+++ b/packages/daemon/fleet_duty_peers.cc
@@ -18,6 +18,8 @@
 constexpr milliseconds kNewsPerNode{10};
 constexpr milliseconds kShortestNews{250};
 constexpr milliseconds kLongestNews{1000};
+// Reports to a relay cost the same at any size of the fleet.
+constexpr milliseconds kReportPeriod{500};
 // Leaves room for three lost datagrams before an actor counts as silent.
 constexpr milliseconds kActorNews{350};
 // A peer counts as silent after so many of its periods, but not before the
@@ -50,6 +52,8 @@
 
 // What every node that doesn't act keeps to.
 base::duration fleet_duty::SharedNewsPeriod() const {
+  if (relays_.in_use())
+    return kReportPeriod;
   return std::clamp<base::duration>(
       kNewsPerNode * static_cast<int>(addresses_.size()), kShortestNews,
       kLongestNews);
@@ -73,30 +77,118 @@
           return;
         // Errors tell of datagrams that a peer's address did not take.
         if (!error) {
-          if (auto news = fleet::DecodePeerStatus({datagram_.data(), bytes}))
-            TakeNews(*news);
+          const auto statuses =
+              fleet::DecodeDatagram({datagram_.data(), bytes});
+          if (statuses.empty())
+            peer_datagrams_dropped_.Add();
+          for (const fleet::peer_status& news : statuses) {
+            const auto author = addresses_.find(news.node);
+            TakeNews(news,
+                     author != addresses_.end() && author->second == sender_);
+          }
         }
         Receive();
       });
 }
 
-void fleet_duty::TakeNews(const fleet::peer_status& news) {
+void fleet_duty::TakeNews(const fleet::peer_status& news, bool direct) {
   const auto now = clock_.Now();
-  if (news.node == self_ || !peers_.Apply(news, now))
+  if (news.node == self_)
     return;
+  if (news.kind != fleet::status_kind::kStatus)
+    Perform(relays_.Take(news, direct, now));
+  switch (news.kind) {
+    case fleet::status_kind::kReport:
+      // Is part of this node's next digest.
+      ArmRelayTimer();
+      return;
+    case fleet::status_kind::kStatus:
+      if (peers_.Apply(news, now))
+        ApplyNews(news);
+      return;
+    case fleet::status_kind::kDigest:
+      ArmRelayTimer();
+      if (ApplyDigest(news))
+        ApplyNews(news);
+      return;
+    case fleet::status_kind::kNote:
+      peers_.ApplyAnnouncements(news.announcements);
+      ApplyNews(news);
+      return;
+  }
+}
+
+// @return whether it is newer than the last one of its relay.
+bool fleet_duty::ApplyDigest(const fleet::peer_status& digest) {
+  const auto now = clock_.Now();
+  if (!relayed_loads_.Apply(digest, now))
+    return false;
+  for (const fleet::relay_member& member : digest.members) {
+    if (member.node != self_)
+      peers_.ApplyMember(member, now);
+  }
+  return true;
+}
+
+void fleet_duty::Perform(const fleet::relay_effects& effects) {
+  for (const fleet::outgoing_datagram& datagram : effects.send) {
+    for (const base::node_id& node : datagram.to) {
+      const auto address = addresses_.find(node);
+      if (address != addresses_.end())
+        SendTo(datagram.text, address->second);
+    }
+  }
+  for (const fleet::peer_status& own : effects.apply) {
+    if (own.kind != fleet::status_kind::kDigest || ApplyDigest(own))
+      ApplyNews(own);
+  }
+}
+
+void fleet_duty::TickRelays() {
+  Perform(relays_.Tick(clock_.Now()));
+  ArmRelayTimer();
+}
+
+void fleet_duty::ArmRelayTimer() {
+  if (relays_.in_use())
+    relay_timer_.Arm(relays_.NextTimer(clock_.Now()));
+}
+
+bool fleet_duty::AnyNodeSeenRequests() const {
+  return peers_.AnyPeerSeenRequests() || relayed_loads_.AnySeenRequests();
+}
+
+void fleet_duty::ApplyNews(const fleet::peer_status& news) {
+  const auto now = clock_.Now();
   gateway::fleet_update update;
-  for (const fleet::peer_activity_query& each : news.queries)
-    update.queries.push_back(
-        {news.node, each.replica, milliseconds(each.window_ms)});
+  for (const fleet::peer_activity_query& each : news.queries) {
+    const bool for_relay =
+        news.kind == fleet::status_kind::kNote && each.requesting_node.empty();
+    if (!for_relay)
+      update.queries.push_back(
+          {each.requesting_node.empty() ? news.node : each.requesting_node,
+           each.replica, milliseconds(each.window_ms)});
+  }
   update.active_replicas = news.active_replicas;
-  update.loads = peers_.TakeChangedLoads(now, Silence());
-  update.queue_lengths = peers_.QueueLengths(now, Silence());
+  if (relays_.in_use()) {
+    update.loads =
+        relayed_loads_.TakeChanged(now, fleet::peer_table::kPeerTimeout);
+    update.queue_lengths = relayed_loads_.QueueLengths(
+        own_lines_, now, fleet::peer_table::kPeerTimeout);
+  } else {
+    update.loads = peers_.TakeChangedLoads(now, Silence());
+    update.queue_lengths = peers_.QueueLengths(now, Silence());
+  }
   TakeSuspects(news, update);
   for (const fleet::limit_report& each : news.limits) {
-    if (!update.limits)
-      update.limits.emplace().peer = news.node;
-    update.limits->limits[each.replica] = {each.requests_per_second,
-                                           now - each.age, each.sent};
+    const base::node_id& reporter =
+        each.reporter.empty() ? news.node : each.reporter;
+    if (reporter == self_)
+      continue;
+    if (update.limits.empty() || update.limits.back().peer != reporter)
+      update.limits.push_back({reporter, {}});
+    update.limits.back().limits[each.replica] = {each.requests_per_second,
+                                                 now - each.age, each.sent};
   }
   update.crashes = news.crashes;
   for (const gateway::replica_process& each : news.leaving)
@@ -109,39 +201,43 @@
     updates_->SendQuietly(std::move(update));
   else
     updates_->Send(std::move(update));
-  if (news.partial) {
-    if (suspects_added || view_due_)
-      Step();
-    return;
-  }
+  TakeAnnouncements(news);
+  TakeConfigurationVersion(news);
+  if (suspects_added)
+    Step();
+  else if (view_due_)
+    Publish();
+}
+
+void fleet_duty::TakeAnnouncements(const fleet::peer_status& news) {
   for (const auto& [service, statement] : news.announcements) {
     // This node may be cut off from the store that named another one.
     const auto own = services_.find(service);
     if (own != services_.end())
       own->second->term.OnPeerTerm(statement.term);
     if (own != services_.end() && statement.term > own->second->term.term())
-      own->second->term.OnFenced(now);
+      own->second->term.OnFenced(clock_.Now());
     if (told_[service] == statement)
       continue;
     told_[service] = statement;
     view_due_ = true;
   }
+}
+
+void fleet_duty::TakeConfigurationVersion(const fleet::peer_status& news) {
+  const auto now = clock_.Now();
   const std::uint64_t own = configuration_ ? configuration_->version() : 0;
-  if (news.configuration > own && now >= configuration_not_before_) {
-    // The own watch is behind or silent.
-    configuration_not_before_ = now + kConfigurationRetry;
-    store::call get;
-    get.op = store::operation::kGet;
-    get.key = {std::string(wire_.configuration_kind()),
-               std::string(wire_.configuration_name())};
-    pending_call purpose;
-    purpose.configuration = true;
-    Submit(std::move(get), std::move(purpose));
-  }
-  if (view_due_)
-    Publish();
-  if (suspects_added)
-    Step();
+  if (news.configuration <= own || now < configuration_not_before_)
+    return;
+  // The own watch is behind or silent.
+  configuration_not_before_ = now + kConfigurationRetry;
+  store::call get;
+  get.op = store::operation::kGet;
+  get.key = {std::string(wire_.configuration_kind()),
+             std::string(wire_.configuration_name())};
+  pending_call purpose;
+  purpose.configuration = true;
+  Submit(std::move(get), std::move(purpose));
 }
 
 // Takes the suspects that this node hasn't received recently.
@@ -149,6 +245,9 @@
                               gateway::fleet_update& update) {
   const auto now = clock_.Now();
   for (const base::instance_id& each : news.suspects) {
+    // A digest also holds this node's own suspicions.
+    if (suspects_.contains(each))
+      continue;
     auto& known = heard_suspects_[each];
     if (known != base::time_point() && now - known < 2 * kSuspicionRepeat)
       continue;
@@ -174,6 +273,11 @@
 
 void fleet_duty::SendDue() {
   const auto now = clock_.Now();
+  // A new relay knows nothing of this node's state.
+  if (relays_.in_use() && relays_.ReportTargets() != report_targets_) {
+    report_targets_ = relays_.ReportTargets();
+    outbox_.RequestFull();
+  }
   switch (outbox_.TakeDue(now)) {
     case fleet::peer_outbox::round::kNone:
       return;
@@ -242,7 +346,7 @@
   news.node = self_;
   news.incarnation = incarnation_;
   news.configuration = configuration_ ? configuration_->version() : 0;
-  news.seen_requests = seen_requests_ || peers_.AnyPeerSeenRequests();
+  news.seen_requests = seen_requests_ || AnyNodeSeenRequests();
   news.stopping = stopping_;
   news.store_reachable = StoreReachable();
   news.cores = settings_.gateway->cores;
@@ -301,6 +405,8 @@
   for (const gateway::activity_confirmation& each : news.answers) {
     fleet::peer_status part = PartialStatus();
     part.active_replicas = {each.replica};
+    if (relays_.in_use())
+      part.kind = fleet::status_kind::kNote;
     SendPartial(std::move(part), each.requesting_node);
   }
 }
@@ -310,13 +416,23 @@
 void fleet_duty::QueryPeers(const gateway::entry_update& news) {
   std::map<base::node_id, std::vector<fleet::peer_activity_query>> queries;
   for (const gateway::activity_query& each : news.queries) {
-    for (const base::node_id& node : peers_.NodesWithLoad(each.replica))
+    const auto able = relays_.in_use()
+                          ? relayed_loads_.RelaysWithLoad(each.replica)
+                          : peers_.NodesWithLoad(each.replica);
+    for (const base::node_id& node : able)
       queries[node].push_back(
           {each.replica, base::WholeMilliseconds(each.window)});
   }
   for (auto& [node, for_node] : queries) {
     fleet::peer_status part = PartialStatus();
     part.queries = std::move(for_node);
+    if (relays_.in_use())
+      part.kind = fleet::status_kind::kNote;
+    if (node == self_) {
+      // This node is a relay of others that may know.
+      Perform(relays_.Take(part, true, clock_.Now()));
+      continue;
+    }
     SendPartial(std::move(part), node);
   }
 }
@@ -334,9 +450,15 @@
   if (addresses_.empty())
     return;
   news.sequence = ++sequence_;
-  const std::string text = fleet::EncodePeerStatus(news);
   LogPeerTraffic(clock_.Now());
   ++(news.partial ? traffic_.partial_rounds : traffic_.full_rounds);
+  if (relays_.in_use()) {
+    relayed_loads_.OnReported(news.sequence, own_loads_);
+    Perform(relays_.Report(std::move(news), clock_.Now()));
+    ArmRelayTimer();
+    return;
+  }
+  const std::string text = fleet::EncodePeerStatus(news);
   for (const auto& [node, address] : addresses_)
     SendTo(text, address);
 }
--- a/packages/daemon/fleet_duty_store.cc
+++ b/packages/daemon/fleet_duty_store.cc
@@ -19,9 +19,31 @@
 constexpr milliseconds kRegisterRetry{500};
 
 std::string NodeStatement(const std::string& address,
-                          std::uint64_t incarnation) {
+                          std::uint64_t incarnation,
+                          const fleet::fleet_node& node) {
   return boost::json::serialize(
-      boost::json::object{{"address", address}, {"incarnation", incarnation}});
+      boost::json::object{{"address", address},
+                          {"incarnation", incarnation},
+                          {"failure_domain", node.failure_domain.str()},
+                          {"cores", node.cores}});
+}
+
+// Entries of older nodes name neither failure domain nor cores.
+fleet::fleet_node NodeIn(const std::string& statement) {
+  boost::system::error_code error;
+  const auto value = boost::json::parse(statement, error);
+  const auto* object = value.if_object();
+  fleet::fleet_node node;
+  if (error || !object)
+    return node;
+  const auto* domain = object->if_contains("failure_domain");
+  if (domain && domain->is_string())
+    node.failure_domain =
+        base::failure_domain_id(std::string(domain->as_string()));
+  const auto* cores = object->if_contains("cores");
+  if (cores && cores->is_number())
+    node.cores = cores->to_number<double>();
+  return node;
 }
 
 std::optional<udp::endpoint> AddressIn(const std::string& statement) {
@@ -249,17 +271,21 @@
       return;
     }
     const auto address = deleted ? std::nullopt : AddressIn(object.value);
-    if (address)
+    nodes_changed_ = true;
+    if (address) {
       addresses_[node] = *address;
-    else
+      nodes_[node] = NodeIn(object.value);
+    } else {
       addresses_.erase(node);
+      nodes_.erase(node);
+    }
   }
 }
 
 // Writes the node's own entry until the store holds it.
 void fleet_duty::Register() {
-  const std::string value =
-      NodeStatement(settings_.listen.peer.Text(), incarnation_);
+  const std::string value = NodeStatement(settings_.listen.peer.Text(),
+                                          incarnation_, nodes_.at(self_));
   if (!fleet_listed_ || registering_ || clock_.Now() < register_not_before_)
     return;
   // The store may have written the JSON in another order.
--- a/packages/fleet/peer_status.cc
+++ b/packages/fleet/peer_status.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include <chrono>
+#include <stdexcept>
 #include <tuple>
 #include <utility>
 
@@ -138,8 +139,11 @@
     json::value rate;
     if (each.requests_per_second)
       rate = *each.requests_per_second;
-    out.push_back({json::string(each.replica.str()), std::move(rate),
-                   base::WholeMilliseconds(each.age), each.sent});
+    json::array fields{json::string(each.replica.str()), std::move(rate),
+                       base::WholeMilliseconds(each.age), each.sent};
+    if (!each.reporter.empty())
+      fields.push_back(json::string(each.reporter.str()));
+    out.push_back(std::move(fields));
   }
   return out;
 }
@@ -154,6 +158,8 @@
       report.requests_per_second = fields.at(1).to_number<double>();
     report.age = Duration(fields.at(2));
     report.sent = UnsignedInteger(fields.at(3));
+    if (fields.size() > 4)
+      report.reporter = base::node_id(Text(fields.at(4)));
   }
   return limits;
 }
@@ -177,19 +183,119 @@
   return processes;
 }
 
+// Node, sequence; if complete also incarnation, stopping, store_reachable and
+// cores.
+json::array EncodeMembers(const std::vector<relay_member>& members) {
+  json::array out;
+  for (const relay_member& each : members) {
+    json::array fields{json::string(each.node.str()), each.sequence};
+    if (each.complete) {
+      fields.push_back(each.incarnation);
+      fields.push_back(each.stopping);
+      fields.push_back(each.store_reachable);
+      fields.push_back(each.cores);
+    }
+    out.push_back(std::move(fields));
+  }
+  return out;
+}
+
+std::vector<relay_member> DecodeMembers(const json::array& encoded) {
+  std::vector<relay_member> members;
+  for (const json::value& member : encoded) {
+    const json::array& fields = member.as_array();
+    relay_member& each = members.emplace_back();
+    each.node = base::node_id(Text(fields.at(0)));
+    each.sequence = UnsignedInteger(fields.at(1));
+    each.complete = fields.size() > 2;
+    if (!each.complete)
+      continue;
+    each.incarnation = UnsignedInteger(fields.at(2));
+    each.stopping = fields.at(3).as_bool();
+    each.store_reachable = fields.at(4).as_bool();
+    each.cores = fields.at(5).to_number<double>();
+  }
+  return members;
+}
+
+json::object EncodeVersions(
+    const std::map<std::string, announcement_version>& versions) {
+  json::object out;
+  for (const auto& [service, version] : versions)
+    out[service] = json::array{version.term, version.edition};
+  return out;
+}
+
+std::map<std::string, announcement_version> DecodeVersions(
+    const json::object& encoded) {
+  std::map<std::string, announcement_version> versions;
+  for (const auto& [service, version] : encoded) {
+    const json::array& fields = version.as_array();
+    versions[std::string(service)] = {UnsignedInteger(fields.at(0)),
+                                      UnsignedInteger(fields.at(1))};
+  }
+  return versions;
+}
+
+struct kind_name {
+  status_kind kind;
+  const char* name;
+};
+constexpr kind_name kKindNames[] = {{status_kind::kStatus, "status"},
+                                    {status_kind::kReport, "report"},
+                                    {status_kind::kDigest, "digest"},
+                                    {status_kind::kNote, "note"}};
+
+const char* NameOf(status_kind kind) {
+  for (const kind_name& each : kKindNames) {
+    if (each.kind == kind)
+      return each.name;
+  }
+  return "unknown";
+}
+
+// @throws std::invalid_argument for a kind of a newer program.
+status_kind KindNamed(std::string_view name) {
+  for (const kind_name& each : kKindNames) {
+    if (name == each.name)
+      return each.kind;
+  }
+  throw std::invalid_argument("unknown kind of status");
+}
+
+// Whether a status holds only changes. Under this name in the kinds that nodes
+// without relays can't handle, which drop a status without "partial".
+constexpr char kChangesOnly[] = "changes_only";
+constexpr char kPartial[] = "partial";
+
 json::object EncodeCommonFields(const peer_status& status) {
   json::object out{{"node", status.node.str()},
                    {"incarnation", status.incarnation},
                    {"sequence", status.sequence},
-                   {"partial", status.partial},
                    {"loads", EncodeLoads(status.loads)}};
+  if (status.kind == status_kind::kStatus) {
+    out[kPartial] = status.partial;
+  } else {
+    out["kind"] = NameOf(status.kind);
+    out[kChangesOnly] = status.partial;
+  }
+  if (!status.known_announcements.empty())
+    out["known"] = EncodeVersions(status.known_announcements);
+  if (status.farewell)
+    out["farewell"] = true;
+  if (!status.members.empty())
+    out["members"] = EncodeMembers(status.members);
   json::object queue_lengths;
   for (const auto& [pool, waiting] : status.queue_lengths)
     queue_lengths[pool] = waiting;
   out["lines"] = std::move(queue_lengths);
   json::array queries;
-  for (const peer_activity_query& query : status.queries)
-    queries.push_back({json::string(query.replica.str()), query.window_ms});
+  for (const peer_activity_query& query : status.queries) {
+    json::array fields{json::string(query.replica.str()), query.window_ms};
+    if (!query.requesting_node.empty())
+      fields.push_back(json::string(query.requesting_node.str()));
+    queries.push_back(std::move(fields));
+  }
   out["questions"] = std::move(queries);
   out["heard_of"] = EncodeIds(status.active_replicas);
   out["suspects"] = EncodeIds(status.suspects);
@@ -215,7 +321,15 @@
 
 peer_status DecodeStatus(const json::object& encoded) {
   peer_status status;
-  status.partial = encoded.at("partial").as_bool();
+  if (const json::value* kind = encoded.if_contains("kind"))
+    status.kind = KindNamed(kind->as_string());
+  const bool known_to_all = status.kind == status_kind::kStatus;
+  status.partial = encoded.at(known_to_all ? kPartial : kChangesOnly).as_bool();
+  if (const json::value* known = encoded.if_contains("known"))
+    status.known_announcements = DecodeVersions(known->as_object());
+  if (const json::value* farewell = encoded.if_contains("farewell"))
+    status.farewell = farewell->as_bool();
+  status.members = DecodeMembers(ArrayOrEmpty(encoded, "members"));
   status.node = base::node_id(Text(encoded.at("node")));
   status.incarnation = UnsignedInteger(encoded.at("incarnation"));
   status.sequence = UnsignedInteger(encoded.at("sequence"));
@@ -224,8 +338,11 @@
     status.queue_lengths[std::string(pool)] = waiting.to_number<int>();
   for (const json::value& query : encoded.at("questions").as_array()) {
     const json::array& fields = query.as_array();
-    status.queries.push_back({base::instance_id(Text(fields.at(0))),
-                              fields.at(1).to_number<std::int64_t>()});
+    peer_activity_query& read = status.queries.emplace_back();
+    read.replica = base::instance_id(Text(fields.at(0)));
+    read.window_ms = fields.at(1).to_number<std::int64_t>();
+    if (fields.size() > 2)
+      read.requesting_node = base::node_id(Text(fields.at(2)));
   }
   status.active_replicas = DecodeIds(encoded.at("heard_of").as_array());
   status.suspects = DecodeIds(ArrayOrEmpty(encoded, "suspects"));
@@ -234,17 +351,20 @@
   status.answered_parts = DecodeParts(ArrayOrEmpty(encoded, "answered_parts"));
   status.blamed_parts = DecodeParts(ArrayOrEmpty(encoded, "blamed_parts"));
   status.leaving = DecodeProcesses(ArrayOrEmpty(encoded, "leaving"));
+  if (const json::value* statements = encoded.if_contains("statements")) {
+    for (const auto& [service, announcement] : statements->as_object())
+      status.announcements[std::string(service)] =
+          DecodeAnnouncement(announcement.as_object());
+  }
+  if (!status.partial || status.kind == status_kind::kDigest) {
+    status.configuration = UnsignedInteger(encoded.at("configuration"));
+    status.seen_requests = encoded.at("seen_requests").as_bool();
+  }
   if (status.partial)
     return status;
-  status.configuration = UnsignedInteger(encoded.at("configuration"));
-  status.seen_requests = encoded.at("seen_requests").as_bool();
   status.stopping = encoded.at("stopping").as_bool();
   status.store_reachable = encoded.at("store_reachable").as_bool();
   status.cores = encoded.at("cores").to_number<double>();
-  for (const auto& [service, announcement] :
-       encoded.at("statements").as_object())
-    status.announcements[std::string(service)] =
-        DecodeAnnouncement(announcement.as_object());
   return status;
 }
 
@@ -256,11 +376,17 @@
 
 std::string EncodePeerStatus(const peer_status& status) {
   json::object out = EncodeCommonFields(status);
-  if (status.partial)
-    return json::serialize(out);
   json::object announcements;
   for (const auto& [service, announcement] : status.announcements)
     announcements[service] = EncodeAnnouncement(announcement);
+  if (status.kind == status_kind::kNote && !announcements.empty())
+    out["statements"] = announcements;
+  if (status.kind == status_kind::kDigest) {
+    out["configuration"] = status.configuration;
+    out["seen_requests"] = status.seen_requests;
+  }
+  if (status.partial)
+    return json::serialize(out);
   out["configuration"] = status.configuration;
   out["seen_requests"] = status.seen_requests;
   out["stopping"] = status.stopping;
@@ -281,12 +407,42 @@
 }
 
 std::optional<peer_status> DecodePeerStatus(std::string_view text) {
+  std::vector<peer_status> statuses = DecodeDatagram(text);
+  if (statuses.size() != 1)
+    return std::nullopt;
+  return std::move(statuses.front());
+}
+
+std::vector<std::string> BundleStatuses(const std::vector<std::string>& texts) {
+  std::vector<std::string> bundles;
+  for (const std::string& text : texts) {
+    if (bundles.empty() ||
+        bundles.back().size() + text.size() + 2 > kMaxDatagramBytes)
+      bundles.emplace_back("[");
+    else
+      bundles.back() += ',';
+    bundles.back() += text;
+  }
+  for (std::string& bundle : bundles)
+    bundle += ']';
+  return bundles;
+}
+
+std::vector<peer_status> DecodeDatagram(std::string_view text) {
   try {
-    return DecodeStatus(
-        json::parse(json::string_view(text.data(), text.size())).as_object());
+    const json::value read =
+        json::parse(json::string_view(text.data(), text.size()));
+    std::vector<peer_status> statuses;
+    if (read.is_object()) {
+      statuses.push_back(DecodeStatus(read.get_object()));
+      return statuses;
+    }
+    for (const json::value& status : read.as_array())
+      statuses.push_back(DecodeStatus(status.as_object()));
+    return statuses;
   } catch (const std::exception&) {
     // Foreign or damaged; the sender repeats its state in the next datagram.
-    return std::nullopt;
+    return {};
   }
 }
 
@@ -302,11 +458,7 @@
   if (version(status) <= version(peer_entry.status) &&
       !(timed_out && restarted))
     return false;
-  for (const auto& [service, announcement] : status.announcements) {
-    group_announcement& known_announcement = announcements_[service];
-    if (IsNewer(announcement, known_announcement))
-      known_announcement = announcement;
-  }
+  ApplyAnnouncements(status.announcements);
   peer_entry.last_received_at = now;
   ReplaceLoads(peer_entry, std::move(status.loads), status.partial);
   if (status.partial) {
@@ -314,6 +466,10 @@
     peer_entry.status.incarnation = status.incarnation;
     peer_entry.status.sequence = status.sequence;
     peer_entry.status.queue_lengths = std::move(status.queue_lengths);
+    if (status.kind == status_kind::kDigest) {
+      peer_entry.status.configuration = status.configuration;
+      peer_entry.status.seen_requests = status.seen_requests;
+    }
     return true;
   }
   status.loads = std::move(peer_entry.status.loads);
@@ -321,6 +477,48 @@
   return true;
 }
 
+void peer_table::ApplyAnnouncements(
+    const std::map<std::string, group_announcement>& announcements) {
+  for (const auto& [service, announcement] : announcements) {
+    group_announcement& known_announcement = announcements_[service];
+    if (IsNewer(announcement, known_announcement))
+      known_announcement = announcement;
+  }
+}
+
+void peer_table::ApplyMember(const relay_member& member, base::time_point now) {
+  if (member.complete) {
+    peer_status status;
+    status.node = member.node;
+    status.incarnation = member.incarnation;
+    status.sequence = member.sequence;
+    status.stopping = member.stopping;
+    status.store_reachable = member.store_reachable;
+    status.cores = member.cores;
+    Apply(std::move(status), now);
+    return;
+  }
+  const auto known = peers_.find(member.node);
+  if (known == peers_.end() || member.sequence <= known->second.status.sequence)
+    return;
+  known->second.status.sequence = member.sequence;
+  known->second.last_received_at = now;
+}
+
+gateway::placed_load peer_table::LoadOn(
+    const base::instance_id& replica) const {
+  const auto sum = load_sums_.find(replica);
+  return sum == load_sums_.end() ? gateway::placed_load{} : sum->second;
+}
+
+void peer_table::Remove(const base::node_id& node) {
+  const auto known = peers_.find(node);
+  if (known == peers_.end())
+    return;
+  ReplaceLoads(known->second, {}, false);
+  peers_.erase(known);
+}
+
 void peer_table::ReplaceLoads(peer& sender,
                               gateway::load_map loads,
                               bool partial) {
@@ -440,6 +638,14 @@
   return it->second;
 }
 
+std::map<std::string, announcement_version> peer_table::AnnouncementVersions()
+    const {
+  std::map<std::string, announcement_version> versions;
+  for (const auto& [service, announcement] : announcements_)
+    versions[service] = {announcement.term, announcement.edition};
+  return versions;
+}
+
 std::uint64_t peer_table::NewestConfiguration() const {
   std::uint64_t newest = 0;
   for (const auto& [node, peer] : peers_)
--- a/packages/fleet/peer_status.h
+++ b/packages/fleet/peer_status.h
@@ -1,9 +1,11 @@
-// Defines the status that nodes send each other as one JSON datagram: their
+// Defines the status that nodes send each other as JSON datagrams: their
 // identity, their configuration version, the load they have placed, the
 // replicas they suspect, and, from the leader of a service's groups, which
 // groups serve. A full datagram holds the complete state, so a lost one only
-// causes a delay. On the wire, queue lengths are "lines", queries "questions",
-// active replicas "heard_of" and announcements "statements".
+// causes a delay. In a large fleet nodes send their status to a relay, whose
+// digests hold the sums over its members (fleet/relay.h). On the wire, queue
+// lengths are "lines", queries "questions", active replicas "heard_of" and
+// announcements "statements".
 #ifndef FLAMINGOSHUNT_FLEET_PEER_STATUS_H_
 #define FLAMINGOSHUNT_FLEET_PEER_STATUS_H_
 
@@ -40,10 +42,18 @@
   bool operator==(const group_announcement&) const = default;
 };
 
+/// Orders the announcements of a service.
+struct announcement_version {
+  std::uint64_t term = 0;
+  std::uint64_t edition = 0;
+  auto operator<=>(const announcement_version&) const = default;  // NOLINT
+};
+
 /// Asks the peers whether they see a replica active that this node doesn't.
 struct peer_activity_query {
   base::instance_id replica;
-  std::int64_t window_ms = 0;  ///< How recent counts as active.
+  std::int64_t window_ms = 0;          ///< How recent counts as active.
+  base::node_id requesting_node = {};  ///< Empty: the sender.
   bool operator==(const peer_activity_query&) const = default;
 };
 
@@ -53,16 +63,40 @@
   std::optional<double> requests_per_second;  ///< Empty: no limit any more.
   base::duration age{};                       ///< Since the replica named it.
   std::uint64_t sent = 0;
+  base::node_id reporter = {};  ///< Empty: the sender.
   bool operator==(const limit_report&) const = default;
 };
 
+/// What a status is for.
+enum class status_kind {
+  kStatus,  ///< From each node to each, in a small fleet.
+  kReport,  ///< From a node to its relay.
+  kDigest,  ///< From a relay: the sums over its members, itself included.
+  kNote     ///< Queries, confirmations or announcements only.
+};
+
+/// What a relay knows of a member.
+struct relay_member {
+  base::node_id node;
+  std::uint64_t sequence = 0;  ///< Of the last report in the sums.
+  /// The fields below are set; otherwise they are unchanged.
+  bool complete = false;
+  std::uint64_t incarnation = 0;
+  bool stopping = false;
+  bool store_reachable = true;
+  double cores = 0;
+  bool operator==(const relay_member&) const = default;
+};
+
 /// One datagram.
 struct peer_status {
   /// Holds only the changed loads and limits, the queue lengths, the queries,
   /// the active replicas, the answered prompt parts, the leaving replicas, and
-  /// the new suspects, crashes and blamed prompt parts; everything else is
+  /// the new suspects, crashes and blamed prompt parts, in a digest also the
+  /// configuration and whether requests were seen; everything else is
   /// unchanged.
   bool partial = false;
+  status_kind kind = status_kind::kStatus;
   base::node_id node;
   std::uint64_t incarnation = 0;    ///< Increases with every start of the node.
   std::uint64_t sequence = 0;       ///< Increases with every datagram.
@@ -83,6 +117,11 @@
   std::vector<gateway::part_sighting> blamed_parts;         ///< Refused here.
   std::vector<gateway::replica_process> leaving;            ///< Found lately.
   std::map<std::string, group_announcement> announcements;  ///< By service.
+  /// Latest announcements that the sender knows; in reports and digests.
+  std::map<std::string, announcement_version> known_announcements;
+  bool farewell = false;  ///< The sender reports to another relay from now on.
+  /// In a digest: the members with new reports; all of them if not partial.
+  std::vector<relay_member> members;
 };
 
 /// Larger datagrams are reduced by dropping announcements, then crashes.
@@ -93,6 +132,14 @@
 /// @return nothing if @p text is not a peer status.
 std::optional<peer_status> DecodePeerStatus(std::string_view text);
 
+/// Joins encoded statuses into as few datagrams as possible, each within
+/// kMaxDatagramBytes unless a single status exceeds it.
+std::vector<std::string> BundleStatuses(const std::vector<std::string>& texts);
+
+/// @return the statuses of a datagram, bundled or single; empty if any part is
+///         not a peer status.
+std::vector<peer_status> DecodeDatagram(std::string_view text);
+
 /// The latest status of each peer.
 class peer_table {
  public:
@@ -110,6 +157,10 @@
   /// @return whether @p status is newer than the last one of that node.
   bool Apply(peer_status status, base::time_point now);
 
+  /// A relay has received a report of a node. Reports that it received before
+  /// the last one applied here change nothing.
+  void ApplyMember(const relay_member& member, base::time_point now);
+
   /// @return the nodes received from within @p timeout that aren't stopping.
   std::vector<base::node_id> LiveNodes(base::time_point now,
                                        base::duration timeout) const;
@@ -134,6 +185,12 @@
   gateway::load_map TakeChangedLoads(base::time_point now,
                                      base::duration timeout);
 
+  /// @return the total load that the peers have placed on @p replica.
+  gateway::placed_load LoadOn(const base::instance_id& replica) const;
+
+  /// Forgets a peer and its load.
+  void Remove(const base::node_id& node);
+
   /// @return the nodes that have requests on @p replica.
   std::vector<base::node_id> NodesWithLoad(
       const base::instance_id& replica) const;
@@ -145,6 +202,11 @@
   /// @return the newest announcement for @p service, by term and edition.
   std::optional<group_announcement> Announcement(
       const std::string& service) const;
+  /// @return the versions of the newest announcements, by service.
+  std::map<std::string, announcement_version> AnnouncementVersions() const;
+  /// Keeps the announcements that are newer than the known ones.
+  void ApplyAnnouncements(
+      const std::map<std::string, group_announcement>& announcements);
 
   /// @return the highest configuration version in force at a peer.
   std::uint64_t NewestConfiguration() const;
--- a/packages/gateway/entry.cc
+++ b/packages/gateway/entry.cc
@@ -77,9 +77,8 @@
     retry_budget_.SetNodes(view_->live_nodes);
     DeliverDecisions(dispatcher_.SetView(view_, now));
   }
-  if (update.limits)
-    dispatcher_.ApplyPeerLimits(update.limits->peer, update.limits->limits,
-                                now);
+  for (const peer_limits& each : update.limits)
+    dispatcher_.ApplyPeerLimits(each.peer, each.limits, now);
   if (update.queue_lengths)
     dispatcher_.SetPeerQueueLengths(*update.queue_lengths);
   if (!update.loads.empty())
--- a/packages/gateway/entry.h
+++ b/packages/gateway/entry.h
@@ -61,7 +61,7 @@
   std::vector<part_sighting> blamed_parts;         ///< Refused by other nodes.
   std::vector<activity_query> queries;             ///< From other nodes.
   std::vector<base::instance_id> active_replicas;  ///< Confirmed by peers.
-  std::optional<peer_limits> limits;
+  std::vector<peer_limits> limits;
   std::optional<retry_allowance> allowance;
 };
 
--- a/tests/native/peer_traffic_test.cc
+++ b/tests/native/peer_traffic_test.cc
@@ -9,6 +9,7 @@
 #include <deque>
 #include <mutex>
 #include <set>
+#include <thread>
 
 #include "duty/duty_thread.h"
 #include "fleet/peer_status.h"
@@ -155,16 +156,28 @@
   });
 }
 
+// Writes the entries of @p peers; those with a @p failure_domain know relays.
+void AddPeers(native_deployment& deployment,
+              const peer_sockets& peers,
+              const std::string& failure_domain) {
+  deployment.RunOnStandIns([&] {
+    for (std::size_t i = 0; i < kPeers; ++i) {
+      json::object entry{{"address", peers.AddressOf(i)}, {"incarnation", 1}};
+      if (!failure_domain.empty()) {
+        entry["failure_domain"] = failure_domain;
+        entry["cores"] = 0.5;
+      }
+      deployment.store().Put(groups::kFleetKind, "node.p" + std::to_string(i),
+                             std::move(entry));
+    }
+  });
+}
+
 // Starts a node whose peers are @p peers.
 native_deployment& StartNodeWith(peer_sockets& peers) {
   // Never torn down, as the threads of a deployment need.
   auto& deployment = *new native_deployment(1);
-  deployment.RunOnStandIns([&] {
-    for (std::size_t i = 0; i < kPeers; ++i)
-      deployment.store().Put(
-          groups::kFleetKind, "node.p" + std::to_string(i),
-          json::object{{"address", peers.AddressOf(i)}, {"incarnation", 1}});
-  });
+  AddPeers(deployment, peers, "");
   REQUIRE(deployment.WaitUntil([&] { return peers.datagrams() >= kPeers; },
                                milliseconds(5000)));
   return deployment;
@@ -203,4 +216,47 @@
   CHECK(peers.MaxLeavingNamed() == 0);
 }
 
+// Guards against news that cost a node as many datagrams as the fleet has
+// nodes: at 195 nodes, handling them took the processors of the small ones.
+TEST_CASE("A node of a large fleet sends its news to a few relays") {
+  auto& peers = *new peer_sockets;
+  auto& deployment = *new native_deployment(1);
+  AddPeers(deployment, peers, "z2");
+  REQUIRE(deployment.WaitUntil([&] { return peers.datagrams() > 0; },
+                               milliseconds(5000)));
+  // Relays are used once all entries are known.
+  std::this_thread::sleep_for(milliseconds(500));
+  const std::size_t before = peers.datagrams();
+  const auto began = std::chrono::steady_clock::now();
+  for (int i = 0; i < kCalls; ++i)
+    deployment.Call(0, "/plan/x", "r" + std::to_string(i),
+                    {{"X-Flamingoshunt-Model", "m0"}});
+  const auto length = std::chrono::steady_clock::now() - began;
+  // Two relays of the other failure domain are guessed, as none answers; each
+  // gets a digest each 50 ms.
+  const auto periods = length / milliseconds(50) + 1;
+  CHECK(peers.datagrams() - before <= 2 * static_cast<std::size_t>(periods));
+  CHECK(peers.datagrams() > before);
+}
+
+// Guards against a view of the fleet for each entry of a list, which took the
+// whole processor of small nodes while 875 replicas started.
+TEST_CASE("A list of many replicas makes few views of the fleet") {
+  auto& deployment = *new native_deployment(1);
+  const auto views = [&] {
+    for (const telemetry::metric_view& each :
+         deployment.node(0).metrics().Views()) {
+      if (each.identity->name == "fleet_views_total")
+        return each.counted->value();
+    }
+    return std::uint64_t{0};
+  };
+  const std::uint64_t before = views();
+  REQUIRE(before > 0);
+  AddUnreachableReplicas(deployment, "ready");
+  AddUnreachableReplicas(deployment, "draining");
+  std::this_thread::sleep_for(milliseconds(1000));
+  CHECK(views() - before <= kUnreachableReplicas / 4);
+}
+
 }  // namespace flamingoshunt::native
