Spread requests that the nodes of a large fleet place at once

Cause: a node places each request on the replica that is cheapest by what it knows. Where relays collect the loads, 195 nodes know them about 60 ms late, so all that arrives meanwhile went to the same few heads.

A node now chooses at random among as many of the cheapest replicas as the fleet places requests meanwhile, twice over. Fleets that send each placement to each node keep the cheapest.

--- a/packages/gateway/dispatcher.cc
+++ b/packages/gateway/dispatcher.cc
@@ -20,6 +20,10 @@
 // nodes and the scheduling of small processes.
 constexpr milliseconds kPeerUpdateDelay{20};
 
+// Replicas among which a node chooses for each request that others place at the
+// same time; more of them make equal choices rarer.
+constexpr std::size_t kChoicesPerPlacement = 2;
+
 }  // namespace
 
 std::string PoolName(const std::string& service, const std::string& model) {
@@ -140,6 +144,52 @@
                      });
 }
 
+dispatcher::costed_grant dispatcher::Cost(const slot_request& request,
+                                          const target& replica,
+                                          const engine_profile* profile,
+                                          base::time_point now) const {
+  costed_grant costed;
+  grant& candidate = costed.candidate;
+  candidate.ticket = request.ticket;
+  candidate.replica = replica;
+  candidate.load = TotalLoad(replica.instance);
+  candidate.limited = limits_.Available(replica.instance, now).has_value();
+  costed.cost = static_cast<double>(candidate.load.running) / replica.slots;
+  if (!profile)
+    return costed;
+  candidate.expected =
+      EstimateWork(*profile, replica.time_factor, candidate.load,
+                   request.prompt_tokens, request.output_tokens);
+  costed.cost = base::Milliseconds(candidate.expected.total) +
+                base::Milliseconds(candidate.expected.first_event);
+  return costed;
+}
+
+// @return the requests for @p pool that the fleet places before its nodes learn
+//         of each other's.
+std::size_t dispatcher::CountConcurrentPlacements(const std::string& pool,
+                                                  base::time_point now) const {
+  return static_cast<std::size_t>(FleetArrivalsPerMillisecond(pool, now) *
+                                  base::Milliseconds(view_->peer_delay));
+}
+
+// Chooses the cheapest replica. If other nodes choose before they learn of this
+// placement, chooses at random among enough of the cheapest for all of them.
+const dispatcher::costed_grant& dispatcher::Choose(
+    std::vector<costed_grant>& costed,
+    const std::string& pool,
+    base::time_point now) {
+  const std::size_t choices =
+      std::min(costed.size(),
+               1 + kChoicesPerPlacement * CountConcurrentPlacements(pool, now));
+  std::partial_sort(
+      costed.begin(), costed.begin() + static_cast<std::ptrdiff_t>(choices),
+      costed.end(), [](const costed_grant& a, const costed_grant& b) {
+        return a.cost < b.cost;
+      });
+  return costed[base::RandomIndex(random_, choices)];
+}
+
 std::optional<grant> dispatcher::TryPlace(const slot_request& request,
                                           const queue_position& position,
                                           base::time_point now) {
@@ -151,41 +201,25 @@
   });
   if (candidates.empty())
     return std::nullopt;
-  std::optional<grant> best;
-  double best_cost = 0;
   // Equal costs are common under low load; a random start keeps the nodes from
   // all choosing the first replica.
   const std::size_t start = base::RandomIndex(random_, candidates.size());
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const target& replica = *candidates[(start + i) % candidates.size()];
-    grant candidate;
-    candidate.ticket = request.ticket;
-    candidate.replica = replica;
-    candidate.load = TotalLoad(replica.instance);
-    candidate.limited = limits_.Available(replica.instance, now).has_value();
-    double cost = static_cast<double>(candidate.load.running) / replica.slots;
-    if (profile) {
-      candidate.expected =
-          EstimateWork(*profile, replica.time_factor, candidate.load,
-                       request.prompt_tokens, request.output_tokens);
-      cost = base::Milliseconds(candidate.expected.total) +
-             base::Milliseconds(candidate.expected.first_event);
-    }
-    if (!best || cost < best_cost) {
-      best = candidate;
-      best_cost = cost;
-    }
-  }
-  if (freed_replica_ == best->replica.instance)
+  std::vector<costed_grant> costed;
+  costed.reserve(candidates.size());
+  for (std::size_t i = 0; i < candidates.size(); ++i)
+    costed.push_back(Cost(request, *candidates[(start + i) % candidates.size()],
+                          profile, now));
+  const grant best = Choose(costed, position.pool, now).candidate;
+  if (freed_replica_ == best.replica.instance)
     freed_replica_.reset();
-  else if (const auto share = slot_shares_.find(best->replica.instance);
+  else if (const auto share = slot_shares_.find(best.replica.instance);
            share != slot_shares_.end())
     --share->second.remaining;
-  placements_[request.ticket] = {best->replica.instance, position.pool,
+  placements_[request.ticket] = {best.replica.instance, position.pool,
                                  request.prompt_tokens, request.output_tokens,
                                  now};
-  limits_.OnSent(best->replica.instance, now);
-  own_loads_[best->replica.instance] +=
+  limits_.OnSent(best.replica.instance, now);
+  own_loads_[best.replica.instance] +=
       {1, request.prompt_tokens, request.output_tokens};
   return best;
 }
--- a/packages/gateway/dispatcher.h
+++ b/packages/gateway/dispatcher.h
@@ -8,7 +8,8 @@
 // callers when a slot is expected to be free. When many slots become free at
 // once, as in a new group, a node takes only the fraction of them that its
 // queue is of all nodes' queues, since slots are taken faster than peer status
-// travels.
+// travels. In a large fleet many nodes place requests before they learn of each
+// other's: each then chooses at random among those that are about the best.
 #ifndef FLAMINGOSHUNT_GATEWAY_DISPATCHER_H_
 #define FLAMINGOSHUNT_GATEWAY_DISPATCHER_H_
 
@@ -208,6 +209,21 @@
   std::optional<grant> TryPlace(const slot_request& request,
                                 const queue_position& position,
                                 base::time_point now);
+  struct costed_grant {
+    grant candidate;
+    /// Expected times until the first event and the end, in ms; for a plain
+    /// service the fraction of slots taken.
+    double cost = 0;
+  };
+  costed_grant Cost(const slot_request& request,
+                    const target& replica,
+                    const engine_profile* profile,
+                    base::time_point now) const;
+  std::size_t CountConcurrentPlacements(const std::string& pool,
+                                        base::time_point now) const;
+  const costed_grant& Choose(std::vector<costed_grant>& costed,
+                             const std::string& pool,
+                             base::time_point now);
   bool MayTakeSlot(const target& replica,
                    const engine_profile* profile,
                    const queue_position& position,
@@ -228,6 +244,8 @@
                                 double mean_service_ms,
                                 base::time_point now) const;
   void RecordArrival(const slot_request& request, base::time_point now);
+  double FleetArrivalsPerMillisecond(const std::string& pool,
+                                     base::time_point now) const;
   double Utilization(const queue_position& position,
                      double releases_per_ms,
                      base::time_point now) const;
--- a/packages/gateway/dispatcher_queue.cc
+++ b/packages/gateway/dispatcher_queue.cc
@@ -57,12 +57,10 @@
   statistics.last_arrival_at = now;
 }
 
-// @return arrivals at all nodes, assuming that all are as busy as this one, per
-//         slot that becomes free.
-double dispatcher::Utilization(const queue_position& position,
-                               double releases_per_ms,
-                               base::time_point now) const {
-  const auto it = pool_statistics_by_name_.find(position.pool);
+// @return arrivals at all nodes, assuming that all are as busy as this one.
+double dispatcher::FleetArrivalsPerMillisecond(const std::string& pool,
+                                               base::time_point now) const {
+  const auto it = pool_statistics_by_name_.find(pool);
   if (it == pool_statistics_by_name_.end())
     return 0;
   const pool_statistics& statistics = it->second;
@@ -70,7 +68,14 @@
       base::Milliseconds(now - statistics.last_arrival_at);
   return statistics.arrivals_per_ms *
          std::exp(-elapsed_ms / kArrivalRateDecayMs) *
-         std::max(1, view_ ? view_->live_nodes : 1) / releases_per_ms;
+         std::max(1, view_ ? view_->live_nodes : 1);
+}
+
+// @return arrivals at all nodes per slot that becomes free.
+double dispatcher::Utilization(const queue_position& position,
+                               double releases_per_ms,
+                               base::time_point now) const {
+  return FleetArrivalsPerMillisecond(position.pool, now) / releases_per_ms;
 }
 
 // @return how many slots become free in a millisecond, as far as the replicas'
--- a/packages/gateway/fleet_view.h
+++ b/packages/gateway/fleet_view.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/ids.h"
 #include "gateway/configuration.h"
 
@@ -73,6 +74,9 @@
   configuration_ptr configuration;  ///< Null until one is received.
   std::map<std::string, std::vector<target>, std::less<>> targets;
   int live_nodes = 1;  ///< Nodes of this fleet, this one included.
+  /// Time until the other nodes know of a placement, if relays collect them;
+  /// zero if it is sent to each node at once.
+  base::duration peer_delay{};
 };
 
 using fleet_view_ptr = std::shared_ptr<const fleet_view>;
