Let the nodes of a large fleet poll the list of replicas seldom

Cause: each of 195 nodes polled the list each 0.6 s and the nodes' entries at every change; each poll is a call of the store.

Relays and the acting node poll as before and name the replicas that leave to the others, which poll each 0.6 of the time that a leaving replica serves (gateway.replica_drain_ms, from the bounds). That alone keeps the bound, should all relays miss a leave. With fewer than two relays that reach the store a node polls as often as in a small fleet. The nodes' entries are polled each 0.3 s (1 s in a large fleet) at most: all nodes register in the same second, and each registration woke each node.

--- a/packages/daemon/flamingoshuntd_main.cc
+++ b/packages/daemon/flamingoshuntd_main.cc
@@ -13,6 +13,8 @@
 
 #include "daemon/gateway_node.h"
 #include "daemon/node.h"
+#include "fleet/poll_delays.h"
+#include "groups/leader_election.h"
 #include "platform/native_deployment.h"
 #include "platform/store_port.h"
 #include "settings/settings.h"
@@ -23,6 +25,8 @@
 namespace options = boost::program_options;
 namespace base = flamingoshunt::base;
 namespace daemon_ns = flamingoshunt::daemon;
+namespace fleet = flamingoshunt::fleet;
+namespace groups = flamingoshunt::groups;
 namespace platform = flamingoshunt::platform;
 namespace settings = flamingoshunt::settings;
 namespace telemetry = flamingoshunt::telemetry;
@@ -30,9 +34,6 @@
 constexpr int kExitOk = 0;
 constexpr int kExitFailure = 1;  // Could not run, or a drain was cut short.
 constexpr int kExitUsage = 2;    // Bad command line or settings.
-// Collects a busy moment of the replica list in one call; well inside the time
-// in which a leaving replica must get no more work.
-constexpr auto kReplicaWatchPause = std::chrono::milliseconds(600);
 // Several lines a request at a node's usual load, with room for a crest.
 constexpr double kLogLinesPerSecond = 400;
 
@@ -107,7 +108,9 @@
     options.addresses.push_back(address.Text());
   options.connect_timeout = all.timeouts.connect;
   options.poll_delay_by_kind[std::string(deployment.replica_kind())] =
-      kReplicaWatchPause;
+      fleet::poll_delays::kOwnReplicas;
+  options.poll_delay_by_kind[groups::kFleetKind] =
+      fleet::poll_delays::kOwnNodes;
   const auto make_port = [&](boost::asio::io_context& loop,
                              flamingoshunt::store::port_receiver deliver) {
     return std::make_unique<platform::store_port>(loop, options,
--- a/packages/daemon/fleet_duty.cc
+++ b/packages/daemon/fleet_duty.cc
@@ -98,7 +98,7 @@
 }
 
 void fleet_duty::ConnectPlatform(duty::channel<store::call>& calls,
-                                 const platform_duty& duty) {
+                                 platform_duty& duty) {
   calls_.emplace(thread_.loop(), calls);
   platform_duty_ = &duty;
 }
@@ -251,6 +251,8 @@
     auto view = std::make_shared<gateway::fleet_view>();
     view->configuration = configuration_;
     view->live_nodes = static_cast<int>(live_nodes_);
+    if (relays_.in_use())
+      view->peer_delay = fleet::relay_network::kMeanDelay;
     if (configuration_) {
       for (const auto& [name, service] : configuration_->services())
         view->targets[name] = TargetsOf(service);
--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -21,6 +21,7 @@
 #include "fleet/deployment.h"
 #include "fleet/peer_outbox.h"
 #include "fleet/peer_status.h"
+#include "fleet/poll_delays.h"
 #include "fleet/relay_network.h"
 #include "fleet/relayed_loads.h"
 #include "fleet/replica_directory.h"
@@ -45,8 +46,7 @@
   // Wiring; before Start.
   duty::channel<platform_delivery>& platform() { return deliveries_; }
   std::vector<std::string> WatchedKinds() const;
-  void ConnectPlatform(duty::channel<store::call>& calls,
-                       const platform_duty& duty);
+  void ConnectPlatform(duty::channel<store::call>& calls, platform_duty& duty);
   duty::channel<gateway::entry_update>& news() { return news_; }
   void ConnectEntry(duty::channel<gateway::fleet_update>& updates);
 
@@ -130,6 +130,9 @@
   void Perform(const fleet::relay_effects& effects);
   void TickRelays();
   void ArmRelayTimer();
+  /// @return whether other nodes learn from this one what the store says.
+  bool InformsOthers() const;
+  void UpdatePollDelays();
   void TakeSuspects(const fleet::peer_status& news,
                     gateway::fleet_update& update);
   /// Sends the round that is due to the peers, if the limit allows it now.
@@ -197,7 +200,8 @@
   duty::channel<gateway::entry_update> news_;
   std::optional<duty::outbox<store::call>> calls_;
   std::optional<duty::outbox<gateway::fleet_update>> updates_;
-  const platform_duty* platform_duty_ = nullptr;
+  platform_duty* platform_duty_ = nullptr;
+  fleet::poll_delays poll_delays_;
   std::uint64_t next_call_ = 1;
   std::map<store::call_id, pending_call> pending_;
 
--- a/packages/daemon/fleet_duty_groups.cc
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -42,6 +42,7 @@
     live_nodes_ = live;
     view_due_ = true;
   }
+  UpdatePollDelays();
   if (now >= next_news_)
     outbox_.RequestFull();
   SendDue();
--- a/packages/daemon/fleet_duty_peers.cc
+++ b/packages/daemon/fleet_duty_peers.cc
@@ -158,6 +158,32 @@
   return peers_.AnyPeerSeenRequests() || relayed_loads_.AnySeenRequests();
 }
 
+bool fleet_duty::InformsOthers() const {
+  return relays_.IsRelay(clock_.Now()) ||
+         std::any_of(services_.begin(), services_.end(),
+                     [](const auto& each) { return each.second->is_leader; });
+}
+
+void fleet_duty::UpdatePollDelays() {
+  const std::size_t informed = relayed_loads_.RelaysReachingStore(
+      clock_.Now(), fleet::peer_table::kPeerTimeout);
+  const fleet::poll_delays delays =
+      fleet::ChoosePollDelays(relays_.in_use(), InformsOthers(), informed,
+                              settings_.gateway->replica_drain);
+  if (delays == poll_delays_)
+    return;
+  poll_delays_ = delays;
+  platform_duty_->SetPollDelay(std::string(wire_.replica_kind()),
+                               delays.replicas);
+  platform_duty_->SetPollDelay(groups::kFleetKind, delays.nodes);
+  telemetry::LogChange(
+      "fleet", "poll_delays",
+      {{"replicas_ms", base::WholeMilliseconds(delays.replicas)},
+       {"nodes_ms", base::WholeMilliseconds(delays.nodes)},
+       {"informs_others", InformsOthers()},
+       {"informed_relays", informed}});
+}
+
 void fleet_duty::ApplyNews(const fleet::peer_status& news) {
   const auto now = clock_.Now();
   gateway::fleet_update update;
--- a/packages/daemon/fleet_duty_store.cc
+++ b/packages/daemon/fleet_duty_store.cc
@@ -211,6 +211,11 @@
   }
   const fleet::replica& current = replicas_.replicas().at(id);
   const bool leaves = current.leaving && !left_before;
+  if (leaves && relays_.in_use() && InformsOthers()) {
+    // The other nodes of a large fleet poll the list seldom.
+    departure_reports_.Add({id, entry.engine.started_ms}, now);
+    outbox_.RequestChanges();
+  }
   if (fresh || leaves)
     telemetry::LogChange("fleet", leaves ? "replica_leaving" : "replica_listed",
                          {{"instance", id.str()},
--- a/packages/daemon/platform_duty.cc
+++ b/packages/daemon/platform_duty.cc
@@ -1,5 +1,7 @@
 #include "daemon/platform_duty.h"
 
+#include <boost/asio/post.hpp>
+
 #include <optional>
 #include <utility>
 
@@ -94,6 +96,12 @@
   });
 }
 
+void platform_duty::SetPollDelay(const std::string& kind,
+                                 base::duration delay) {
+  boost::asio::post(thread_.loop(),
+                    [this, kind, delay] { port_->SetPollDelay(kind, delay); });
+}
+
 void platform_duty::NoteSource(const store::port_news& news) {
   news_source_ = std::holds_alternative<store::reply>(news) ? "call" : "watch";
   const auto* event = std::get_if<store::watch_event>(&news);
--- a/packages/daemon/platform_duty.h
+++ b/packages/daemon/platform_duty.h
@@ -50,6 +50,9 @@
   duty::channel<store::call>& Link(duty::channel<store::reply>& replies);
 
   void Start();
+  /// Sets how long the watches of @p kind wait between two polls; from any
+  /// thread.
+  void SetPollDelay(const std::string& kind, base::duration delay);
   void Stop() { thread_.Stop(); }
 
   /// @return whether the platform answered last; from any thread.
--- a/packages/fleet/peer_status.cc
+++ b/packages/fleet/peer_status.cc
@@ -359,11 +359,11 @@
   if (!status.partial || status.kind == status_kind::kDigest) {
     status.configuration = UnsignedInteger(encoded.at("configuration"));
     status.seen_requests = encoded.at("seen_requests").as_bool();
+    status.store_reachable = encoded.at("store_reachable").as_bool();
   }
   if (status.partial)
     return status;
   status.stopping = encoded.at("stopping").as_bool();
-  status.store_reachable = encoded.at("store_reachable").as_bool();
   status.cores = encoded.at("cores").to_number<double>();
   return status;
 }
@@ -384,6 +384,7 @@
   if (status.kind == status_kind::kDigest) {
     out["configuration"] = status.configuration;
     out["seen_requests"] = status.seen_requests;
+    out["store_reachable"] = status.store_reachable;
   }
   if (status.partial)
     return json::serialize(out);
@@ -469,6 +470,7 @@
     if (status.kind == status_kind::kDigest) {
       peer_entry.status.configuration = status.configuration;
       peer_entry.status.seen_requests = status.seen_requests;
+      peer_entry.status.store_reachable = status.store_reachable;
     }
     return true;
   }
--- a/packages/fleet/peer_status.h
+++ b/packages/fleet/peer_status.h
@@ -93,8 +93,8 @@
   /// Holds only the changed loads and limits, the queue lengths, the queries,
   /// the active replicas, the answered prompt parts, the leaving replicas, and
   /// the new suspects, crashes and blamed prompt parts, in a digest also the
-  /// configuration and whether requests were seen; everything else is
-  /// unchanged.
+  /// configuration, whether requests were seen and whether the store is
+  /// reachable; everything else is unchanged.
   bool partial = false;
   status_kind kind = status_kind::kStatus;
   base::node_id node;
--- a/packages/fleet/relay_network.h
+++ b/packages/fleet/relay_network.h
@@ -48,6 +48,9 @@
   static constexpr std::size_t kMaxMeshNodes = 32;
   /// Time between two digests of a relay while its members report changes.
   static constexpr base::duration kDigestPeriod = std::chrono::milliseconds(50);
+  /// From a report to its effect at a node of another failure domain: two
+  /// relays wait for half of their period each.
+  static constexpr base::duration kMeanDelay = std::chrono::milliseconds(60);
   /// Time between two digests without changes.
   static constexpr base::duration kKeepAlive = std::chrono::milliseconds(250);
   /// Time between two full digests, which repair lost ones.
@@ -129,6 +132,7 @@
   base::time_point last_digest_at_{};
   base::time_point last_full_at_{};
   bool urgent_ = false;
+  bool store_reachable_ = false;  ///< By this node, as last reported.
 };
 
 }  // namespace flamingoshunt::fleet
--- a/packages/fleet/relayed_loads.h
+++ b/packages/fleet/relayed_loads.h
@@ -40,6 +40,13 @@
     return relays_.NodesWithLoad(replica);
   }
 
+  /// @return the number of relays heard within @p timeout that reach the
+  ///         platform's store.
+  std::size_t RelaysReachingStore(base::time_point now,
+                                  base::duration timeout) const {
+    return relays_.NodesReachingStore(now, timeout).size();
+  }
+
   bool AnySeenRequests() const { return relays_.AnyPeerSeenRequests(); }
 
  private:
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -232,6 +232,8 @@
       reader.Number("link_mbps", kMinLinkMbps, kMaxLinkMbps, gateway.link_mbps);
   gateway.replica_heartbeat = reader.Milliseconds(
       "replica_heartbeat_ms", kShortest, kLongest, gateway.replica_heartbeat);
+  gateway.replica_drain = reader.Milliseconds("replica_drain_ms", kShortest,
+                                              kLongest, gateway.replica_drain);
   gateway.first_start = reader.Boolean("first_start", gateway.first_start);
 }
 
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -101,6 +101,8 @@
   std::chrono::milliseconds retry_window{10000};
   /// From the request to stop until the process is killed.
   std::chrono::milliseconds grace{8000};
+  /// How long a leaving replica still serves.
+  std::chrono::milliseconds replica_drain{2000};
   /// Interval at which replicas renew their entries in the platform's list.
   std::chrono::milliseconds replica_heartbeat{1200};
   /// Whether the whole deployment starts for the first time, so that no caller
--- a/packages/store/platform_port.h
+++ b/packages/store/platform_port.h
@@ -7,8 +7,10 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <variant>
 
+#include "base/clock.h"
 #include "store/messages.h"
 
 namespace flamingoshunt::store {
@@ -26,6 +28,11 @@
 
   /// Closes a watch; events already under way may still arrive.
   virtual void StopWatch(watch_id id) = 0;
+
+  /// Sets how long the watches of @p kind wait after changes before they ask
+  /// for the next ones. Ports that are told of changes have nothing to set.
+  virtual void SetPollDelay(const std::string& /*kind*/,
+                            base::duration /*delay*/) {}
 };
 
 /// What a port delivers to the client.
