Fetch a configuration from a peer where the store doesn't give it

A node that is behind for 150 ms now asks the peer that named the later version, over the admin interface ("/admin/configuration", the object as the store holds it), and the store only if that fails. What was in force still never comes back. The node's entry names the address. Calls of the store become fewer, too.

Test: a store with a second address turns one of three nodes away; three configurations in series are in force there within 2 s.

Open: the admin port serves the configuration with its keys to whoever reaches it, as it does metrics and traces; it listens on the internal ports only.

--- a/packages/daemon/admin_duty.cc
+++ b/packages/daemon/admin_duty.cc
@@ -92,6 +92,8 @@
                        telemetry::PrometheusText(metrics_));
   } else if (path == "/admin/status") {
     HandleStatus(exchange);
+  } else if (path == "/admin/configuration") {
+    HandleConfiguration(exchange);
   } else if (path.starts_with(kTracePrefix)) {
     HandleTrace(exchange, path.substr(kTracePrefix.size()));
   } else if (path.starts_with(kQuarantine)) {
@@ -102,6 +104,14 @@
   }
 }
 
+void admin_duty::HandleConfiguration(runtime::http_exchange& exchange) {
+  const auto fleet = duties_.find(kFleetSection);
+  const boost::json::value held =
+      fleet == duties_.end() ? nullptr : fleet->second->Ask("configuration");
+  exchange.SendWhole(held.is_null() ? 404 : 200, kJson,
+                     boost::json::serialize(held));
+}
+
 void admin_duty::HandleStatus(runtime::http_exchange& exchange) {
   boost::json::object status;
   status["node"] = self_.str();
--- a/packages/daemon/admin_duty.h
+++ b/packages/daemon/admin_duty.h
@@ -21,6 +21,9 @@
 
 class admin_duty {
  public:
+  /// Section of the duty that answers for the configuration in force.
+  static constexpr char kFleetSection[] = "fleet";
+
   /// @param otlp_address where spans are exported to; empty for nowhere.
   admin_duty(base::node_id self,
              const std::string& address,
@@ -40,6 +43,7 @@
 
  private:
   void Handle(runtime::http_exchange& exchange);
+  void HandleConfiguration(runtime::http_exchange& exchange);
   void HandleStatus(runtime::http_exchange& exchange);
   void HandleTrace(runtime::http_exchange& exchange, std::string id);
   void HandleQuarantine(runtime::http_exchange& exchange,
--- a/packages/daemon/fleet_duty.cc
+++ b/packages/daemon/fleet_duty.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/milliseconds.h"
 #include "runtime/fiber_scheduler.h"
 #include "telemetry/log.h"
 
@@ -133,6 +134,19 @@
   });
 }
 
+boost::json::value fleet_duty::Answer(const status_query& query) const {
+  if (!configuration_)
+    return nullptr;
+  if (query.verb == "configuration")
+    return {{"revision", configuration_object_.version.value()},
+            {"value", configuration_object_.value}};
+  return {{"configuration", configuration_->version()},
+          {"live_nodes", live_nodes_},
+          {"replicas", replicas_.replicas().size()},
+          {"relays_in_use", relays_.in_use()},
+          {"poll_replicas_ms", base::WholeMilliseconds(poll_delays_.replicas)}};
+}
+
 // --- The entry thread.
 
 void fleet_duty::TakeEntryNews(gateway::entry_update&& news) {
--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -14,6 +14,7 @@
 
 #include "base/clock.h"
 #include "daemon/platform_duty.h"
+#include "daemon/status_link.h"
 #include "duty/duty_thread.h"
 #include "duty/outbox.h"
 #include "duty/timer.h"
@@ -50,6 +51,15 @@
   duty::channel<gateway::entry_update>& news() { return news_; }
   void ConnectEntry(duty::channel<gateway::fleet_update>& updates);
 
+  /// @param address where the other nodes may ask for "/admin/configuration".
+  void SetAdminAddress(std::string address) {
+    admin_address_ = std::move(address);
+  }
+  boost::asio::io_context& loop() { return thread_.loop(); }
+  /// Answers the admin thread, on this duty's thread: "status", or
+  /// "configuration" for the configuration in force as the store holds it.
+  boost::json::value Answer(const status_query& query) const;
+
   void Start();
 
   /// Hands over what this node acts for; from any thread.
@@ -95,7 +105,9 @@
   void TakeEra(const store::era& named);
   void TakeEvent(const store::watch_event& event);
   void TakeReply(const store::reply& reply);
-  void TakeConfiguration(const store::object& object);
+  // Where a configuration comes from, as logged:
+  static constexpr std::string_view kFromStore = "store";
+  void TakeConfiguration(const store::object& object, std::string_view source);
   void TakeReplica(const store::object& object, bool deleted);
   /// @param source of the entry: "list", or "set_aside" for one that the
   ///        directory had set aside.
@@ -125,6 +137,10 @@
   void ApplyNews(const fleet::peer_status& news);
   void TakeAnnouncements(const fleet::peer_status& news);
   void TakeConfigurationVersion(const fleet::peer_status& news);
+  /// Asks @p peer for its configuration, and the store if that brings none
+  /// later than the own one.
+  void FetchConfiguration(const base::node_id& peer);
+  void GetConfiguration();
   bool ApplyDigest(const fleet::peer_status& digest);
   /// Sends and applies what the relays' network wants sent and applied.
   void Perform(const fleet::relay_effects& effects);
@@ -206,6 +222,9 @@
   std::map<store::call_id, pending_call> pending_;
 
   gateway::configuration_ptr configuration_;
+  store::object configuration_object_;  ///< What configuration_ was read from.
+  std::optional<base::time_point> behind_since_;  ///< A peer has a later one.
+  bool fetching_configuration_ = false;
   fleet::replica_directory replicas_;
   std::map<std::string, std::unique_ptr<acting_service>> services_;
   std::map<std::string, store::object> terms_;  ///< By service.
@@ -215,6 +234,8 @@
   bool registering_ = false;
   base::time_point register_not_before_{};
   std::map<base::node_id, boost::asio::ip::udp::endpoint> addresses_;
+  std::string admin_address_;
+  std::map<base::node_id, std::string> admin_addresses_;
   std::map<base::node_id, fleet::fleet_node> nodes_;  ///< This one included.
   bool nodes_changed_ = true;  ///< Since the relays' network got them.
   fleet::peer_table peers_;
--- a/packages/daemon/fleet_duty_peers.cc
+++ b/packages/daemon/fleet_duty_peers.cc
@@ -1,4 +1,6 @@
 // How nodes tell each other their news.
+#include <boost/json.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -36,6 +38,11 @@
 constexpr std::uint64_t kNotableTraffic = 200 * 1024;  // bytes in a period
 constexpr std::size_t kDatagramHeaderBytes = 28;       // IPv4 and UDP
 constexpr milliseconds kConfigurationRetry{500};
+// The own watch mostly brings a configuration as soon as the peers' do.
+constexpr milliseconds kWatchPatience{150};
+// A large configuration over a small node's link.
+constexpr milliseconds kConfigurationFetch{1000};
+constexpr int kOk = 200;
 // An acting node that doesn't reach the store learns nothing of new and leaving
 // replicas; after this another one may act. Shorter troubles are waited out.
 constexpr milliseconds kStoreGrace{1500};
@@ -253,10 +260,55 @@
 void fleet_duty::TakeConfigurationVersion(const fleet::peer_status& news) {
   const auto now = clock_.Now();
   const std::uint64_t own = configuration_ ? configuration_->version() : 0;
-  if (news.configuration <= own || now < configuration_not_before_)
+  if (news.configuration <= own)
+    return;
+  if (!behind_since_)
+    behind_since_ = now;
+  if (now - *behind_since_ < kWatchPatience || now < configuration_not_before_)
     return;
-  // The own watch is behind or silent.
+  // The own watch is behind or silent, or the store turns this node away.
   configuration_not_before_ = now + kConfigurationRetry;
+  if (admin_addresses_.contains(news.node) &&
+      !std::exchange(fetching_configuration_, true))
+    runtime::SpawnFiber([this, peer = news.node] { FetchConfiguration(peer); });
+  else
+    GetConfiguration();
+}
+
+void fleet_duty::FetchConfiguration(const base::node_id& peer) {
+  const std::uint64_t before = configuration_ ? configuration_->version() : 0;
+  std::string failure;
+  try {
+    const std::string address = admin_addresses_.at(peer);
+    const auto reply = ExchangeOnce(
+        address, runtime::MakeRequest("GET", "/admin/configuration", address),
+        kConfigurationFetch);
+    if (reply.head.status != kOk)
+      throw base::user_error("status " + std::to_string(reply.head.status));
+    const auto held = boost::json::parse(reply.body).as_object();
+    store::object object;
+    object.key = {std::string(wire_.configuration_kind()),
+                  std::string(wire_.configuration_name())};
+    object.version =
+        base::revision(held.at("revision").to_number<std::uint64_t>());
+    object.value = std::string(held.at("value").as_string());
+    TakeConfiguration(object, peer.str());
+  } catch (const std::exception& error) {
+    failure = error.what();
+  }
+  fetching_configuration_ = false;
+  const std::uint64_t after = configuration_ ? configuration_->version() : 0;
+  if (after > before) {
+    StepSoon();
+    return;
+  }
+  telemetry::LogChange(
+      "fleet", "configuration_not_fetched",
+      {{"peer", peer.str()}, {"kept", before}, {"why", failure}});
+  GetConfiguration();
+}
+
+void fleet_duty::GetConfiguration() {
   store::call get;
   get.op = store::operation::kGet;
   get.key = {std::string(wire_.configuration_kind()),
--- a/packages/daemon/fleet_duty_store.cc
+++ b/packages/daemon/fleet_duty_store.cc
@@ -20,10 +20,12 @@
 
 std::string NodeStatement(const std::string& address,
                           std::uint64_t incarnation,
+                          const std::string& admin,
                           const fleet::fleet_node& node) {
   return boost::json::serialize(
       boost::json::object{{"address", address},
                           {"incarnation", incarnation},
+                          {"admin", admin},
                           {"failure_domain", node.failure_domain.str()},
                           {"cores", node.cores}});
 }
@@ -46,15 +48,20 @@
   return node;
 }
 
-std::optional<udp::endpoint> AddressIn(const std::string& statement) {
+// @param field "address" for peers' datagrams, "admin" for the admin interface.
+std::optional<settings::ip_endpoint> EndpointIn(const std::string& statement,
+                                                const char* field) {
   boost::system::error_code error;
   const auto value = boost::json::parse(statement, error);
   const auto* object = value.if_object();
-  const auto* address = object ? object->if_contains("address") : nullptr;
+  const auto* address = object ? object->if_contains(field) : nullptr;
   if (error || !address || !address->is_string())
     return std::nullopt;
-  const auto parsed =
-      settings::ParseIpEndpoint(std::string(address->as_string()));
+  return settings::ParseIpEndpoint(std::string(address->as_string()));
+}
+
+std::optional<udp::endpoint> AddressIn(const std::string& statement) {
+  const auto parsed = EndpointIn(statement, "address");
   if (!parsed)
     return std::nullopt;
   return udp::endpoint(boost::asio::ip::make_address(parsed->ip), parsed->port);
@@ -115,7 +122,7 @@
   }
   if (kind == wire_.configuration_kind()) {
     if (!deleted && event.changed.key.name == wire_.configuration_name())
-      TakeConfiguration(event.changed);
+      TakeConfiguration(event.changed, kFromStore);
   } else if (kind == wire_.replica_kind()) {
     TakeReplica(event.changed, deleted);
   } else if (kind == groups::kFleetKind) {
@@ -123,7 +130,8 @@
   }
 }
 
-void fleet_duty::TakeConfiguration(const store::object& object) {
+void fleet_duty::TakeConfiguration(const store::object& object,
+                                   std::string_view source) {
   gateway::configuration_ptr read;
   try {
     read = wire_.ReadConfiguration(object.value);
@@ -143,8 +151,11 @@
       "fleet", "configuration",
       {{"version", read->version()},
        {"before", configuration_ ? configuration_->version() : 0},
+       {"source", source},
        {"revision", object.version.value()}});
   configuration_ = std::move(read);
+  configuration_object_ = object;
+  behind_since_.reset();
   configuration_version_.Set(
       static_cast<std::int64_t>(configuration_->version()));
   for (const auto& [name, service] : configuration_->services()) {
@@ -277,6 +288,12 @@
     }
     const auto address = deleted ? std::nullopt : AddressIn(object.value);
     nodes_changed_ = true;
+    const auto admin =
+        deleted ? std::nullopt : EndpointIn(object.value, "admin");
+    if (admin)
+      admin_addresses_[node] = admin->Text();
+    else
+      admin_addresses_.erase(node);
     if (address) {
       addresses_[node] = *address;
       nodes_[node] = NodeIn(object.value);
@@ -289,8 +306,9 @@
 
 // Writes the node's own entry until the store holds it.
 void fleet_duty::Register() {
-  const std::string value = NodeStatement(settings_.listen.peer.Text(),
-                                          incarnation_, nodes_.at(self_));
+  const std::string value =
+      NodeStatement(settings_.listen.peer.Text(), incarnation_, admin_address_,
+                    nodes_.at(self_));
   if (!fleet_listed_ || registering_ || clock_.Now() < register_not_before_)
     return;
   // The store may have written the JSON in another order.
@@ -321,7 +339,7 @@
   pending_.erase(found);
   if (purpose.configuration) {
     if (reply.current)
-      TakeConfiguration(*reply.current);
+      TakeConfiguration(*reply.current, kFromStore);
   } else if (purpose.service.empty()) {
     registering_ = false;
     register_not_before_ = clock_.Now() + kRegisterRetry;
--- a/packages/daemon/gateway_node.cc
+++ b/packages/daemon/gateway_node.cc
@@ -76,6 +76,10 @@
       platform_.Link(fleet_.platform(), fleet_.WatchedKinds()), platform_);
   fleet_.ConnectEntry(entry_.updates());
   entry_.ConnectFleet(fleet_.news());
+  fleet_.SetAdminAddress(admin_.address());
+  admin_.AddDuty(
+      admin_duty::kFleetSection, fleet_.loop(),
+      [this](const status_query& query) { return fleet_.Answer(query); });
 }
 
 void gateway_node::Start() {
--- a/stand_ins/native/native_store.cc
+++ b/stand_ins/native/native_store.cc
@@ -36,7 +36,17 @@
           loop,
           address,
           runtime::http_server_options{},
-          [this](auto& exchange) { Handle(exchange); })) {}
+          [this](auto& exchange) { Handle(exchange); })),
+      second_server_(std::make_unique<runtime::http_server>(
+          loop,
+          address,
+          runtime::http_server_options{},
+          [this](auto& exchange) {
+            if (refuse_second_address)
+              SendJson(exchange, 503, json::object());
+            else
+              Handle(exchange);
+          })) {}
 
 void native_store::SendJson(runtime::http_exchange& exchange,
                             int status,
--- a/stand_ins/native/native_store.h
+++ b/stand_ins/native/native_store.h
@@ -21,8 +21,16 @@
   native_store(boost::asio::io_context& loop, const std::string& address);
 
   std::string address() const { return server_->address(); }
-  void Start() { server_->Start(); }
-  void Close() { server_->CloseAll(); }
+  /// Another address of the store, whose callers alone it may turn away.
+  std::string second_address() const { return second_server_->address(); }
+  void Start() {
+    server_->Start();
+    second_server_->Start();
+  }
+  void Close() {
+    server_->CloseAll();
+    second_server_->CloseAll();
+  }
 
   /// Writes unconditionally, as an operator or a replica does.
   void Put(const std::string& kind,
@@ -44,6 +52,8 @@
   void Restore(const backup& copy);
 
   bool refuse_calls = false;  ///< Answers every call with 503.
+  /// The same for calls to second_address().
+  bool refuse_second_address = false;
   int calls = 0;
 
  private:
@@ -79,6 +89,7 @@
   int watch_cuts_ = 0;
   runtime::fiber_event changed_;
   std::unique_ptr<runtime::http_server> server_;
+  std::unique_ptr<runtime::http_server> second_server_;
 };
 
 }  // namespace flamingoshunt::stand_ins
--- a/tests/native/native_deployment.cc
+++ b/tests/native/native_deployment.cc
@@ -92,11 +92,12 @@
 
 }  // namespace
 
-native_deployment::native_deployment(int nodes) {
+native_deployment::native_deployment(int nodes, bool last_is_apart) {
   StartStandIns();
   Configure(1, false);
   for (int i = 0; i < nodes; ++i)
-    StartNode(i);
+    StartNode(i, last_is_apart && i == nodes - 1 ? store_->second_address()
+                                                 : store_->address());
   const bool serving = WaitUntil(
       [&] {
         for (int i = 0; i < nodes; ++i) {
@@ -140,7 +141,7 @@
   });
 }
 
-void native_deployment::StartNode(int index) {
+void native_deployment::StartNode(int index, const std::string& store_address) {
   settings::daemon_settings all;
   all.self.node = base::node_id("n" + std::to_string(index));
   all.self.region = base::region_id("r");
@@ -156,7 +157,7 @@
   all.gateway->retry_slack = 100;
   all.gateway->link_mbps = kLinkMbps;
   platform::store_port_options options;
-  options.addresses = {store_->address()};
+  options.addresses = {store_address};
   const auto make_port = [options](boost::asio::io_context& loop,
                                    store::port_receiver deliver) {
     return std::make_unique<platform::store_port>(loop, options,
--- a/tests/native/native_deployment.h
+++ b/tests/native/native_deployment.h
@@ -29,8 +29,10 @@
  public:
   /// Starts the stand-ins, writes configuration 1, starts the nodes and waits
   /// until every node serves both models.
+  /// @param last_is_apart whether the last node calls the second address of the
+  ///        store.
   /// @throws std::runtime_error when that takes too long.
-  explicit native_deployment(int nodes);
+  explicit native_deployment(int nodes, bool last_is_apart = false);
 
   /// Runs @p body on the stand-ins' thread and waits until it returns.
   void RunOnStandIns(const std::function<void()>& body);
@@ -58,7 +60,7 @@
 
  private:
   void StartStandIns();
-  void StartNode(int index);
+  void StartNode(int index, const std::string& store_address);
 
   base::system_clock clock_;
   platform::native_deployment deployment_;
