--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -115,6 +115,13 @@
   void AddReplica(const fleet::replica& entry,
                   std::string_view source,
                   base::revision revision);
+  struct listed_replica {
+    fleet::replica entry;
+    std::string_view source;
+    base::revision revision;
+  };
+  static void LogListed(const char* event, const listed_replica& change);
+  void LogNewlyListed();
   void ExpireEntries(base::time_point now);
   void Forget(const base::instance_id& id, const std::string& service);
   // How this node learned that a replica is leaving, as logged:
@@ -226,6 +233,7 @@
   std::optional<base::time_point> behind_since_;  ///< A peer has a later one.
   bool fetching_configuration_ = false;
   fleet::replica_directory replicas_;
+  std::vector<listed_replica> newly_listed_;  ///< Since the last step.
   std::map<std::string, std::unique_ptr<acting_service>> services_;
   std::map<std::string, store::object> terms_;  ///< By service.
   bool fleet_listed_ = false;
--- a/packages/daemon/fleet_duty_groups.cc
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -24,6 +24,7 @@
 void fleet_duty::Step() {
   const auto now = clock_.Now();
   TakeOutage();
+  LogNewlyListed();
   if (std::exchange(nodes_changed_, false))
     relays_.SetNodes(nodes_, now);
   // While the platform is unreachable, no entry can return or lapse.
--- a/packages/daemon/fleet_duty_store.cc
+++ b/packages/daemon/fleet_duty_store.cc
@@ -17,6 +17,8 @@
 
 constexpr char kNodePrefix[] = "node.";
 constexpr milliseconds kRegisterRetry{500};
+// Replicas that are listed at once and still get a log line each.
+constexpr std::size_t kLoggedSingly = 8;
 
 std::string NodeStatement(const std::string& address,
                           std::uint64_t incarnation,
@@ -227,18 +229,45 @@
     departure_reports_.Add({id, entry.engine.started_ms}, now);
     outbox_.RequestChanges();
   }
-  if (fresh || leaves)
-    telemetry::LogChange("fleet", leaves ? "replica_leaving" : "replica_listed",
-                         {{"instance", id.str()},
-                          {"service", entry.service},
-                          {"address", entry.address},
-                          {"source", source},
-                          {"revision", revision.value()}});
+  if (fresh || leaves) {
+    const listed_replica change{entry, source, revision};
+    if (leaves)
+      LogListed("replica_leaving", change);
+    else
+      newly_listed_.push_back(change);
+  }
   if (const auto of = services_.find(entry.service); of != services_.end())
     of->second->planner.OnListed(current, now);
   view_due_ = true;
 }
 
+void fleet_duty::LogListed(const char* event, const listed_replica& change) {
+  telemetry::LogChange("fleet", event,
+                       {{"instance", change.entry.id.str()},
+                        {"service", change.entry.service},
+                        {"address", change.entry.address},
+                        {"source", change.source},
+                        {"revision", change.revision.value()}});
+}
+
+// Logs the replicas listed since the last step; a long list in one line, since
+// every node of the fleet logs it.
+void fleet_duty::LogNewlyListed() {
+  const auto listed = std::exchange(newly_listed_, {});
+  if (listed.size() <= kLoggedSingly) {
+    for (const listed_replica& each : listed)
+      LogListed("replica_listed", each);
+    return;
+  }
+  telemetry::LogChange("fleet", "replicas_listed",
+                       {{"count", listed.size()},
+                        {"known", replicas_.replicas().size()},
+                        {"first", listed.front().entry.id.str()},
+                        {"last", listed.back().entry.id.str()},
+                        {"source", listed.back().source},
+                        {"revision", listed.back().revision.value()}});
+}
+
 void fleet_duty::LearnLeaving(const gateway::replica_process& process,
                               std::string_view source) {
   if (!replicas_.RecordLeaving(process, clock_.Now()))
