--- a/review/harness/deployment.cc
+++ b/review/harness/deployment.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -29,6 +30,7 @@
 using std::chrono::milliseconds;
 
 constexpr char kHost[] = "room.example";
+constexpr rlim_t kMaxFiles = 16384;
 
 // A port below those that the system gives to outgoing connections, so that a
 // node finds it free when it starts again.
@@ -192,7 +194,8 @@
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
   // Sockets of the stand-ins aren't the node's.
-  for (int descriptor = 3; descriptor < 4096; ++descriptor)
+  for (int descriptor = 3; descriptor < static_cast<int>(kMaxFiles);
+       ++descriptor)
     close(descriptor);
   setenv("FLAMINGOSHUNT_SETTINGS", started.settings.c_str(), 1);
   std::vector<char*> words;
@@ -334,10 +337,12 @@
                                    const std::string& prefix,
                                    const std::string& method,
                                    const std::string& path,
-                                   milliseconds gap,
+                                   milliseconds shortest,
+                                   milliseconds longest,
                                    steady_time end,
                                    std::vector<kept_call>& sent) {
   constexpr milliseconds kDeadline{1500};
+  constexpr int kFirstFinal = 200;
   std::unique_ptr<runtime::http_connection> channel;
   int answered = 0;
   for (int number = 0; std::chrono::steady_clock::now() < end; ++number) {
@@ -355,7 +360,12 @@
       call.sent_at = std::chrono::steady_clock::now();
       channel->Send(request, kDeadline);
       call.sent = true;
-      const auto head = channel->ReadHead(kDeadline);
+      auto head = channel->ReadHead(kDeadline);
+      // An interim response isn't the answer.
+      while (head.status < kFirstFinal) {
+        channel->ExpectAnother();
+        head = channel->ReadHead(kDeadline);
+      }
       call.answer.status = head.status;
       while (channel->ReadSome(call.answer.body, kDeadline)) {
       }
@@ -366,12 +376,14 @@
     } catch (const runtime::transport_error&) {
       channel.reset();
     }
+    call.ended_at = std::chrono::steady_clock::now();
     Record("request " + call.id + " " + nodes_.at(node).name + " " +
            (call.answer.complete ? std::to_string(call.answer.status)
             : call.sent          ? "closed without an answer"
                                  : "not sent"));
     sent.push_back(std::move(call));
-    Sleep(gap);
+    Sleep(milliseconds(std::uniform_int_distribution<std::int64_t>(
+        shortest.count(), longest.count())(random_)));
   }
 }
 
@@ -386,6 +398,11 @@
 
 int RunCase(const std::function<int(deployment&)>& body) {
   std::signal(SIGPIPE, SIG_IGN);
+  // The callers of a case share this process.
+  rlimit files{};
+  getrlimit(RLIMIT_NOFILE, &files);
+  files.rlim_cur = std::min<rlim_t>(files.rlim_max, kMaxFiles);
+  setrlimit(RLIMIT_NOFILE, &files);
   boost::asio::io_context loop(1);
   int result = kCouldNotRun;
   runtime::RunFibers(loop, [&] {
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,7 @@
   int before_on_channel = 0;  ///< Requests answered on the channel before.
   bool sent = false;          ///< The whole request was written.
   steady_time sent_at{};
+  steady_time ended_at{};  ///< Answered, closed or given up.
   caller_answer answer;
 };
 
@@ -64,6 +66,10 @@
   bool HasEnded(std::size_t index);
   /// Ends the process at once.
   void KillNode(std::size_t index);
+  /// Where its callers connect.
+  const std::string& caller(std::size_t index) const {
+    return nodes_.at(index).caller;
+  }
   pid_t pid(std::size_t index) const { return nodes_.at(index).pid; }
   /// How the process that has ended did so.
   std::string ending(std::size_t index) const {
@@ -95,16 +101,29 @@
                                       const std::string& path,
                                       std::chrono::milliseconds gap);
 
-  /// One caller with a kept channel to @p node: sends a request each @p gap, on
-  /// the same channel while the node keeps it, until @p end. Runs in a fiber.
+  /// One caller with a kept channel to @p node: waits between @p shortest and
+  /// @p longest after each request, and uses the same channel while the node
+  /// keeps it, until @p end. Runs in a fiber.
   /// @param sent all that it sent, added when it was answered or closed.
   void CallOnKeptChannel(std::size_t node,
                          const std::string& prefix,
                          const std::string& method,
                          const std::string& path,
-                         std::chrono::milliseconds gap,
+                         std::chrono::milliseconds shortest,
+                         std::chrono::milliseconds longest,
                          steady_time end,
                          std::vector<kept_call>& sent);
+  /// The same, with @p gap on average.
+  void CallOnKeptChannel(std::size_t node,
+                         const std::string& prefix,
+                         const std::string& method,
+                         const std::string& path,
+                         std::chrono::milliseconds gap,
+                         steady_time end,
+                         std::vector<kept_call>& sent) {
+    CallOnKeptChannel(node, prefix, method, path, std::chrono::milliseconds(0),
+                      2 * gap, end, sent);
+  }
 
   /// Writes a line, with the time since the start, to the record.
   void Record(const std::string& line);
@@ -129,6 +148,7 @@
   std::string folder_;
   std::ofstream record_;
   steady_time began_;
+  std::mt19937 random_{1};
 };
 
 void Sleep(std::chrono::milliseconds time);
--- a/review/harness/plain_replica.h
+++ b/review/harness/plain_replica.h
@@ -54,7 +54,7 @@
   /// Share of the answers after which it sends additional bytes: the answer
   /// once more, without the id of a request.
   double spoils = 0;
-  std::chrono::milliseconds spoils_after{25};
+  std::chrono::milliseconds spoils_after{60};
   std::size_t spoiled() const { return spoiled_; }
   std::size_t connections() const { return server_->connections(); }
 
