--- a/packages/runtime/http_client.cc
+++ b/packages/runtime/http_client.cc
@@ -69,6 +69,15 @@
   return head;
 }
 
+// @throws transport_error, as for any other address where nobody listens.
+tcp::endpoint EndpointOf(const std::string& address) {
+  try {
+    return ParseAddress(address);
+  } catch (const base::user_error& error) {
+    throw transport_error(transport_failure::kRefused, error.what());
+  }
+}
+
 }  // namespace
 
 http_connection::http_connection(boost::asio::io_context& loop)
@@ -88,7 +97,7 @@
 void http_connection::Connect(const std::string& address,
                               base::duration timeout) {
   address_ = address;
-  const tcp::endpoint endpoint = ParseAddress(address);
+  const tcp::endpoint endpoint = EndpointOf(address);
   stream_.expires_after(timeout);
   const io_result connected = AwaitIo(
       [&](auto done) { stream_.async_connect(endpoint, std::move(done)); });
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -35,7 +35,8 @@
   http_connection(const http_connection&) = delete;
   http_connection& operator=(const http_connection&) = delete;
 
-  /// @throws transport_error (kConnect).
+  /// @throws transport_error (kConnect, or kRefused where nobody listens: also
+  ///         for a text that is no address).
   void Connect(const std::string& address, base::duration timeout);
 
   /// Changes how long the other end may be silent on the wire, probes included,
