End a request completely when an unexpected error ends it

Cause: entry::RunSession took a request off the list of running ones, and AttemptHere gave its slot back, in the line after the call that may throw. With an error that nothing on the path expects, the list kept a pointer to a destroyed request, which the next check for stalls used (address sanitizer: session::CheckStalls, called by entry::CheckStalls), and the slot was lost. A connection whose fiber failed stayed in the server's list and open.

Now owners give these up in their destructors: running_session, slot_claim, open_connection. The caller gets an answer that is true: refused as not run if nothing was sent, 502 with an unknown outcome otherwise, the connection cut if an answer has begun. gateway.request_failed, runtime.handler_failed and gateway_errors_total show it: until now the server swallowed such an error without a line.

Ruled out: a longer list of catch lines at each call; the next exception type would be missing again. The test throws five types before and after the request is sent.

--- a/packages/gateway/entry.cc
+++ b/packages/gateway/entry.cc
@@ -1,6 +1,7 @@
 #include "gateway/entry.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "base/milliseconds.h"
@@ -75,12 +76,39 @@
 
 void entry::RunSession(session& request_session) {
   seen_requests_ = true;
-  sessions_.insert(&request_session);
+  const running_session listed(*this, request_session);
   ArmTimer();
-  metrics_.running.Set(static_cast<std::int64_t>(sessions_.size()));
   request_session.Run();
-  sessions_.erase(&request_session);
-  metrics_.running.Set(static_cast<std::int64_t>(sessions_.size()));
+}
+
+entry::running_session::running_session(entry& owner, session& listed)
+    : owner_(owner), listed_(listed) {
+  owner_.sessions_.insert(&listed_);
+  owner_.metrics_.running.Set(
+      static_cast<std::int64_t>(owner_.sessions_.size()));
+}
+
+entry::running_session::~running_session() {
+  owner_.sessions_.erase(&listed_);
+  owner_.metrics_.running.Set(
+      static_cast<std::int64_t>(owner_.sessions_.size()));
+}
+
+entry::slot_claim::~slot_claim() {
+  try {
+    Release(false);
+  } catch (const std::exception& error) {
+    telemetry::LogChange("gateway", "slot_not_released",
+                         {{"why", error.what()}}, telemetry::log_level::kError);
+  }
+}
+
+void entry::slot_claim::Release(bool complete) {
+  if (std::exchange(released_, true))
+    return;
+  owner_.waiting_.erase(ticket_);
+  owner_.dispatcher_.Cancel(ticket_);
+  owner_.ReleaseSlot(ticket_, complete);
 }
 
 void entry::ApplyUpdate(const fleet_update& update) {
--- a/packages/gateway/entry.h
+++ b/packages/gateway/entry.h
@@ -133,6 +133,39 @@
     slot_result result;
   };
 
+  /// Lists a session while it runs. Timers and updates use the listed ones, so
+  /// an error that ends a session must take it off the list too.
+  class running_session {
+   public:
+    running_session(entry& owner, session& listed);
+    ~running_session();
+    running_session(const running_session&) = delete;
+    running_session& operator=(const running_session&) = delete;
+
+   private:
+    entry& owner_;
+    session& listed_;
+  };
+  /// A request's place in the queue and the slot that it is granted; given up
+  /// when the claim ends, also by an error.
+  class slot_claim {
+   public:
+    slot_claim(entry& owner, ticket_id ticket)
+        : owner_(owner), ticket_(ticket) {}
+    ~slot_claim();
+    slot_claim(const slot_claim&) = delete;
+    slot_claim& operator=(const slot_claim&) = delete;
+
+    /// Gives the slot back early.
+    /// @param complete see dispatcher::Release.
+    void Release(bool complete);
+
+   private:
+    entry& owner_;
+    ticket_id ticket_;
+    bool released_ = false;
+  };
+
   void RunSession(session& request_session);
   /// @return a peer other than @p tried that reaches @p service, if any.
   std::optional<peer_node> ChoosePeer(const std::string& service,
--- a/packages/gateway/metrics.cc
+++ b/packages/gateway/metrics.cc
@@ -13,6 +13,8 @@
                                    "Requests that no configuration allows")),
       failed(registry.AddCounter("gateway_failed_total",
                                  "Requests that may have run and failed")),
+      errors(registry.AddCounter("gateway_errors_total",
+                                 "Requests ended by an unexpected error")),
       callers_gone(registry.AddCounter("gateway_left_total",
                                        "Requests whose caller went away")),
       attempts(registry.AddCounter("gateway_attempts_total",
--- a/packages/gateway/metrics.h
+++ b/packages/gateway/metrics.h
@@ -14,6 +14,7 @@
   telemetry::counter& refused;       ///< Certainly not executed.
   telemetry::counter& rejected;      ///< Not allowed: 400, 401, 404.
   telemetry::counter& failed;        ///< Outcome unknown, or answer cut off.
+  telemetry::counter& errors;        ///< Ended by an unexpected error.
   telemetry::counter& callers_gone;  ///< The caller disconnected.
   telemetry::counter& attempts;
   telemetry::counter& passed_on;    ///< Sent to a peer.
--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <utility>
 
 #include "base/milliseconds.h"
@@ -101,9 +102,34 @@
     if (upstream_)
       upstream_->Close();
   });
-  LogLateRead();
-  if (Validate())
-    Serve();
+  try {
+    LogLateRead();
+    if (Validate())
+      Serve();
+  } catch (const std::exception& error) {
+    EndAfterError(error.what());
+  }
+}
+
+// Answers a request whose handling failed with an error that nothing on its
+// path expects. What its attempts hold is given up by their owners.
+void session::EndAfterError(std::string_view why) {
+  telemetry::LogChange("gateway", "request_failed",
+                       {{"request", head_.id.str()},
+                        {"why", why},
+                        {"answered", exchange_.answered()},
+                        {"sent", attempts_sent_},
+                        {"may_have_run", may_have_run_}},
+                       telemetry::log_level::kError);
+  entry_.metrics_.errors.Add();
+  if (exchange_.answered()) {
+    exchange_.Abort();
+    entry_.metrics_.failed.Add();
+  } else if (may_have_run_) {
+    SendOutcomeUnknown(attempt_result::kBroken);
+  } else {
+    RefuseNotRun(attempt_result::kNotSent);
+  }
 }
 
 void session::LogLateRead() {
@@ -253,10 +279,10 @@
 std::optional<session::attempt_result> session::AttemptHere() {
   const auto queued_at = entry_.Now();
   const slot_request request = MakeSlotRequest();
+  entry::slot_claim claim(entry_, request.ticket);
   const auto slot = entry_.WaitForSlot(request, signal_);
   if (caller_gone_) {
-    if (slot.granted)
-      entry_.ReleaseSlot(request.ticket, false);
+    claim.Release(false);
     Finish(attempt_result::kCallerGone);
     return std::nullopt;
   }
@@ -280,7 +306,7 @@
   }
   // Other nodes may have found out during the wait.
   if (CrashesReplicas()) {
-    entry_.ReleaseSlot(request.ticket, false);
+    claim.Release(false);
     EndIfCrashing();
     return std::nullopt;
   }
@@ -299,7 +325,7 @@
         base::WholeMilliseconds(entry_.Now() - entry_.view_received_at_)},
        {"configuration", configuration_->version()}});
   const attempt_result result = RunAttempt(granted);
-  entry_.ReleaseSlot(request.ticket, result == attempt_result::kComplete);
+  claim.Release(result == attempt_result::kComplete);
   return result;
 }
 
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/entry.h"
@@ -59,6 +60,7 @@
     std::string body;
   };
 
+  void EndAfterError(std::string_view why);
   void LogLateRead();
   bool Validate();
   void Serve();
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -25,6 +25,10 @@
 /// A protocol for tests with plain field names and no encodings.
 class plain_protocol final : public protocol {
  public:
+  /// Called while an attempt or an answer is coded, to throw; none if empty.
+  std::function<void()> fail_attempt;
+  std::function<void()> fail_answer;
+
   caller_head ReadCaller(const runtime::http_request& request) const override {
     caller_head head;
     head.id = base::request_id(Text(request["Id"]));
@@ -45,6 +49,8 @@
   runtime::http_request WriteAttempt(
       const runtime::http_request& request,
       const attempt_head& attempt) const override {
+    if (fail_attempt)
+      fail_attempt();
     runtime::http_request out = request;
     out.erase("Key");
     out.set("Instance", attempt.instance.str());
@@ -56,6 +62,8 @@
 
   answer_head ReadAnswer(
       const runtime::http_response_head& head) const override {
+    if (fail_answer)
+      fail_answer();
     answer_head answer;
     answer.status = head.status;
     for (const auto& [name, value] : head.fields) {
@@ -254,6 +262,7 @@
   /// @return where the gateway takes requests of peers.
   std::string passed_address() const { return passed_->address(); }
   entry& gateway() { return entry_; }
+  plain_protocol& wire() { return wire_; }
 
   std::map<std::string, int> arrivals;
   runtime::http_request last_request;
--- a/packages/runtime/http_server.cc
+++ b/packages/runtime/http_server.cc
@@ -17,6 +17,7 @@
 #include <optional>
 
 #include "runtime/fiber_scheduler.h"
+#include "telemetry/log.h"
 
 namespace flamingoshunt::runtime {
 namespace {
@@ -166,6 +167,26 @@
     bool idle = true;
   };
 
+  /// Ends a connection with its fiber, also when an error ends that.
+  class open_connection {
+   public:
+    using iterator = std::list<std::shared_ptr<connection>>::iterator;
+    open_connection(state& owner, iterator place)
+        : owner_(owner), place_(place) {}
+    ~open_connection() {
+      beast::error_code ignored;
+      (*place_)->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+      (*place_)->stream.close();
+      owner_.open.erase(place_);
+    }
+    open_connection(const open_connection&) = delete;
+    open_connection& operator=(const open_connection&) = delete;
+
+   private:
+    state& owner_;
+    iterator place_;
+  };
+
   state(asio::io_context& event_loop,
         http_server_options server_options,
         handler request_handler)
@@ -227,8 +248,8 @@
     auto peer = std::make_shared<connection>(std::move(socket));
     const auto place = open.insert(open.end(), peer);
     SpawnFiber([self = shared_from_this(), peer, place] {
+      const open_connection held(*self, place);
       self->Serve(*peer);
-      self->open.erase(place);
     });
   }
 }
@@ -237,9 +258,6 @@
   beast::flat_buffer buffer;
   while (accepting && ServeOne(peer, buffer)) {
   }
-  beast::error_code ignored;
-  peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  peer.stream.close();
 }
 
 bool http_server::state::ServeOne(connection& peer,
@@ -293,9 +311,14 @@
 void http_server::state::Answer(http_exchange& exchange) {
   try {
     handle(exchange);
-  } catch (const std::exception&) {
+  } catch (const std::exception& error) {
     // The handler reports its own errors; what escapes it is a defect, and the
     // caller must not take a partial answer for a whole one.
+    telemetry::LogChange("runtime", "handler_failed",
+                         {{"target", std::string(exchange.request().target())},
+                          {"why", error.what()},
+                          {"answered", exchange.answered()}},
+                         telemetry::log_level::kError);
     if (exchange.answered()) {
       exchange.Abort();
       return;
