Contain an unexpected error in the handler where it happens

Cause: the fiber scheduler runs completion handlers where nothing may be thrown, so an error in a timer, a datagram or a message of another thread ended the process. Where it would not have, it stopped a duty for good: the timer was not armed again, messages behind the one that failed stayed in the ring, reception of datagrams ended, a round of probes waited for the one that failed, a failed watch was never reported to the client, and an order or query left the planner waiting.

Each is logged as an error.

Ruled out: catching in each duty's step. It would miss what runs before and after it, and the next duty.

--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -148,6 +148,7 @@
 
   // Peers:
   void Receive();
+  void TakeDatagram(std::string_view text);
   /// @param direct whether the author of @p news sent it, not a relay.
   void TakeNews(const fleet::peer_status& news, bool direct);
   /// Applies what is in @p news besides the state of its sender.
--- a/packages/daemon/fleet_duty_groups.cc
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -2,6 +2,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "daemon/fleet_duty.h"
@@ -20,6 +21,15 @@
 constexpr milliseconds kReportBound{170};
 constexpr milliseconds kOrderBound{1000};
 
+// The planner waits for the outcome of each exchange, so an unexpected error is
+// one too.
+void LogExchangeFailed(const base::instance_id& instance,
+                       const std::exception& error) {
+  telemetry::LogChange("groups", "exchange_failed",
+                       {{"instance", instance.str()}, {"why", error.what()}},
+                       telemetry::log_level::kError);
+}
+
 }  // namespace
 
 void fleet_duty::Step() {
@@ -189,9 +199,8 @@
     LearnLeavingFrom(order.to, reply.head);
   } catch (const runtime::transport_error&) {
     // Told to the planner as an order that may be carried out later.
-  } catch (const base::user_error&) {
-    // The listed address is none.
-    result = fleet::order_result::kRefused;
+  } catch (const std::exception& error) {
+    LogExchangeFailed(order.to, error);
   }
   telemetry::LogChange("groups", "order",
                        {{"instance", order.to.str()},
@@ -287,8 +296,8 @@
   } catch (const runtime::transport_error& error) {
     refused = error.failure() == runtime::transport_failure::kRefused;
     answered = false;
-  } catch (const base::user_error&) {
-    refused = true;  // The listed address is none.
+  } catch (const std::exception& error) {
+    LogExchangeFailed(id, error);
   }
   if (state) {
     of.planner.OnReport(id, *state, clock_.Now());
--- a/packages/daemon/fleet_duty_peers.cc
+++ b/packages/daemon/fleet_duty_peers.cc
@@ -2,6 +2,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "base/milliseconds.h"
@@ -97,21 +98,30 @@
         if (error == boost::asio::error::operation_aborted)
           return;
         // Errors tell of datagrams that a peer's address did not take.
-        if (!error) {
-          const auto statuses =
-              fleet::DecodeDatagram({datagram_.data(), bytes});
-          if (statuses.empty())
-            peer_datagrams_dropped_.Add();
-          for (const fleet::peer_status& news : statuses) {
-            const auto author = addresses_.find(news.node);
-            TakeNews(news,
-                     author != addresses_.end() && author->second == sender_);
-          }
-        }
+        if (!error)
+          TakeDatagram({datagram_.data(), bytes});
         Receive();
       });
 }
 
+void fleet_duty::TakeDatagram(std::string_view text) {
+  const auto statuses = fleet::DecodeDatagram(text);
+  if (statuses.empty())
+    peer_datagrams_dropped_.Add();
+  for (const fleet::peer_status& news : statuses) {
+    const auto author = addresses_.find(news.node);
+    // An error that left the handler would end the reception of all others.
+    try {
+      TakeNews(news, author != addresses_.end() && author->second == sender_);
+    } catch (const std::exception& failure) {
+      peer_datagrams_dropped_.Add();
+      telemetry::LogChange("fleet", "peer_news_failed",
+                           {{"peer", news.node.str()}, {"why", failure.what()}},
+                           telemetry::log_level::kError);
+    }
+  }
+}
+
 void fleet_duty::TakeNews(const fleet::peer_status& news, bool direct) {
   const auto now = clock_.Now();
   if (news.node == self_)
--- a/packages/duty/channel.h
+++ b/packages/duty/channel.h
@@ -12,10 +12,13 @@
 
 #include <atomic>
 #include <cstddef>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <utility>
 
+#include "telemetry/log.h"
+
 namespace flamingoshunt::duty {
 
 template <class Message>
@@ -25,7 +28,8 @@
 
   /// @param capacity messages that fit before TryPush refuses.
   /// @param loop the consumer thread's event loop; must outlive the channel.
-  /// @param receive called on the consumer thread for each message in order.
+  /// @param receive called on the consumer thread for each message in order; a
+  ///        std::exception from it ends the handling of that message only.
   channel(std::size_t capacity, boost::asio::io_context& loop, receiver receive)
       : ring_(capacity), loop_(loop), receive_(std::move(receive)) {}
 
@@ -62,7 +66,7 @@
     Message* next = nullptr;
     while (ring_.pop(next)) {
       const std::unique_ptr<Message> message(next);
-      receive_(std::move(*message));
+      Receive(std::move(*message));
     }
   }
 
@@ -74,6 +78,16 @@
   // loop get theirs under a flood of messages.
   static constexpr std::size_t kMessagesPerTurn = 256;
 
+  // A message that can't be handled must not keep those after it waiting.
+  void Receive(Message&& message) {
+    try {
+      receive_(std::move(message));
+    } catch (const std::exception& error) {
+      telemetry::LogChange("duty", "message_failed", {{"why", error.what()}},
+                           telemetry::log_level::kError);
+    }
+  }
+
   void Drain() {
     // Cleared before the ring is read: a message pushed after the last read
     // then finds the flag clear and posts a new wake-up.
@@ -83,7 +97,7 @@
       if (!ring_.pop(next))
         return;
       const std::unique_ptr<Message> message(next);
-      receive_(std::move(*message));
+      Receive(std::move(*message));
     }
     if (!wake_pending_.exchange(true, std::memory_order_acq_rel))
       boost::asio::post(loop_, [this] { Drain(); });
--- a/packages/duty/timer.h
+++ b/packages/duty/timer.h
@@ -15,13 +15,17 @@
 
 class timer {
  public:
-  /// @param fire called on the loop's thread when the armed time has come.
+  /// @param fire called on the loop's thread when the armed time has come. If
+  ///        it throws a std::exception before it has armed the timer again, it
+  ///        is called once more a little later.
   timer(boost::asio::io_context& loop, std::function<void()> fire);
 
   /// Fires once at @p when, replacing any earlier time; nothing disarms it.
   void Arm(std::optional<base::time_point> when);
 
  private:
+  void Fire();
+
   boost::asio::steady_timer timer_;
   std::function<void()> fire_;
   std::optional<base::time_point> armed_;
--- a/packages/gateway/endpoint_probe.cc
+++ b/packages/gateway/endpoint_probe.cc
@@ -4,7 +4,6 @@
 #include <memory>
 #include <utility>
 
-#include "base/errors.h"
 #include "runtime/fiber_scheduler.h"
 #include "runtime/fiber_wait.h"
 #include "runtime/http_client.h"
@@ -19,6 +18,34 @@
   runtime::fiber_signal finished;
 };
 
+// One connection of a round. It counts as failed unless it reached its
+// endpoint, also when an error ends its fiber: the round waits for all.
+class probe_outcome {
+ public:
+  explicit probe_outcome(probe_round& round) : round_(round) {}
+  ~probe_outcome() {
+    if (!reached_)
+      ++round_.result.failed;
+    --round_.pending;
+    const bool decided =
+        round_.pending == 0 ||
+        round_.result.reached.size() >= endpoint_reach::kReachedUntilConnected;
+    if (decided && !std::exchange(round_.decided, true))
+      round_.finished.Notify();
+  }
+  probe_outcome(const probe_outcome&) = delete;
+  probe_outcome& operator=(const probe_outcome&) = delete;
+
+  void SetReached(const std::string& address) {
+    round_.result.reached.push_back(address);
+    reached_ = true;
+  }
+
+ private:
+  probe_round& round_;
+  bool reached_ = false;
+};
+
 bool CanConnect(boost::asio::io_context& loop,
                 const std::string& address,
                 base::duration timeout) {
@@ -28,8 +55,6 @@
     return true;
   } catch (const runtime::transport_error&) {
     return false;  // The result of the round says so.
-  } catch (const base::user_error&) {
-    return false;  // The listed address is none.
   }
 }
 
@@ -60,16 +85,9 @@
   round->pending = addresses.size();
   for (const std::string& address : addresses) {
     runtime::SpawnFiber([&loop, round, address, timeout] {
+      probe_outcome outcome(*round);
       if (CanConnect(loop, address, timeout))
-        round->result.reached.push_back(address);
-      else
-        ++round->result.failed;
-      --round->pending;
-      const bool decided =
-          round->pending == 0 || round->result.reached.size() >=
-                                     endpoint_reach::kReachedUntilConnected;
-      if (decided && !std::exchange(round->decided, true))
-        round->finished.Notify();
+        outcome.SetReached(address);
     });
   }
   if (!addresses.empty())
--- a/packages/runtime/fiber_scheduler.cc
+++ b/packages/runtime/fiber_scheduler.cc
@@ -27,18 +27,25 @@
   return pool;
 }
 
-// An exception that leaves a fiber would end the process, with the requests of
-// all other fibers.
-void RunContained(const std::function<void()>& body) {
+// An exception that leaves a fiber or a completion handler would end the
+// process, with the requests of all other fibers.
+template <class Body>
+void RunContained(const char* failure, const Body& body) {
   try {
     body();
   } catch (const std::exception& error) {
-    telemetry::LogChange("runtime", "fiber_failed",
+    telemetry::LogChange("runtime", failure,
                          {{"why", std::string(error.what())}},
                          telemetry::log_level::kError);
   }
 }
 
+// What is left after a handler has failed runs with the next look at the loop.
+template <class Run>
+void RunHandlers(const Run& run) {
+  RunContained("loop_handler_failed", run);
+}
+
 }  // namespace
 
 void fiber_scheduler::awakened(boost::fibers::context* context) noexcept {
@@ -54,7 +61,7 @@
   if (!ready_.empty() &&
       active->is_context(boost::fibers::type::dispatcher_context) &&
       ++rounds_ % kRoundsPerPoll == 0)
-    loop_.poll();
+    RunHandlers([this] { loop_.poll(); });
   if (ready_.empty())
     return nullptr;
   boost::fibers::context* next = &ready_.front();
@@ -68,11 +75,13 @@
 
 void fiber_scheduler::suspend_until(
     const std::chrono::steady_clock::time_point& when) noexcept {
-  if (when == (std::chrono::steady_clock::time_point::max)())
-    loop_.run_one();
-  else
-    loop_.run_one_until(when);
-  loop_.poll();
+  RunHandlers([&] {
+    if (when == (std::chrono::steady_clock::time_point::max)())
+      loop_.run_one();
+    else
+      loop_.run_one_until(when);
+    loop_.poll();
+  });
 }
 
 void fiber_scheduler::notify() noexcept {
@@ -86,9 +95,9 @@
 }
 
 void SpawnFiber(std::function<void()> body) {
-  boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
-                       StackPool(),
-                       [body = std::move(body)] { RunContained(body); })
+  boost::fibers::fiber(
+      boost::fibers::launch::post, std::allocator_arg, StackPool(),
+      [body = std::move(body)] { RunContained("fiber_failed", body); })
       .detach();
 }
 
--- a/packages/runtime/fiber_scheduler.h
+++ b/packages/runtime/fiber_scheduler.h
@@ -14,7 +14,8 @@
 namespace flamingoshunt::runtime {
 
 /// Joins Boost.Fiber and Boost.Asio on one thread. Completion handlers run in
-/// the dispatcher fiber: they may wake fibers but never block.
+/// the dispatcher fiber: they may wake fibers but never block. One that throws
+/// a std::exception is logged, and the others run.
 class fiber_scheduler final : public boost::fibers::algo::algorithm {
  public:
   /// @param loop must outlive the thread, since the thread's scheduler dies
