Read each object of the store by itself

Nodes that ran learned of no change of the replicas any more.

Cause: DecodeList and DecodeEvents parsed the store's answer as one document. An escape that names no character, bytes that aren't UTF-8, or lists deeper than the parser's bound in one object made the whole answer unreadable; the client repeated the call, or the watch from the same revision.

Now base/json_text takes the document apart without reading it. The name and revision of each object are read strictly; its value is handed over as it stands, and whoever uses it finds out whether it can be read.

Related paths: the object in a conflict or in the answer to a get; a field of the metadata; this node's own entry and other nodes' entries, replaced by another writer; one status in a bundle of several nodes'. An entry that becomes unusable removes its replica at once: handled as a deletion, it passed for lapsed after an outage and was used for two seconds more. entry_unusable names it once per revision, fleet_entries_unusable_total counts.

Ruled out: the parser's options. They allow bytes that aren't UTF-8, not the escape, and the depth would only move.

--- a/packages/daemon/fleet_duty.cc
+++ b/packages/daemon/fleet_duty.cc
@@ -72,6 +72,9 @@
       peer_datagrams_dropped_(
           metrics.AddCounter("fleet_peer_datagrams_dropped_total",
                              "Datagrams that are no status of a node")),
+      unusable_entries_(
+          metrics.AddCounter("fleet_entries_unusable_total",
+                             "Listed entries that name no usable replica")),
       groups_closed_(metrics.AddCounter("fleet_groups_closed_total",
                                         "Groups that stopped serving")),
       views_published_(
--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -130,6 +130,11 @@
     std::string_view source;
     base::revision revision;
   };
+  struct unusable_entry {
+    base::instance_id id;
+    base::revision revision;
+  };
+  void LogNewlyUnusable();
   static void LogListed(const char* event, const listed_replica& change);
   void LogNewlyListed();
   void ExpireEntries(base::time_point now);
@@ -254,7 +259,8 @@
   store::object configuration_object_;  ///< What configuration_ was read from.
   fleet::configuration_sources configuration_sources_;
   fleet::replica_directory replicas_;
-  std::vector<listed_replica> newly_listed_;  ///< Since the last step.
+  std::vector<listed_replica> newly_listed_;    ///< Since the last step.
+  std::vector<unusable_entry> newly_unusable_;  ///< Since the last step.
   std::map<std::string, std::unique_ptr<acting_service>> services_;
   std::map<std::string, store::object> terms_;  ///< By service.
   bool fleet_listed_ = false;
@@ -322,6 +328,7 @@
   telemetry::counter& peer_bytes_;
   telemetry::counter& peer_sends_failed_;
   telemetry::counter& peer_datagrams_dropped_;
+  telemetry::counter& unusable_entries_;
   telemetry::counter& groups_closed_;
   telemetry::counter& views_published_;
   telemetry::gauge& groups_serving_;
--- a/packages/daemon/fleet_duty_groups.cc
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -36,6 +36,7 @@
   const auto now = clock_.Now();
   TakeOutage();
   LogNewlyListed();
+  LogNewlyUnusable();
   if (std::exchange(nodes_changed_, false))
     relays_.SetNodes(nodes_, now);
   // While the platform is unreachable, no entry can return or lapse.
--- a/packages/daemon/fleet_duty_store.cc
+++ b/packages/daemon/fleet_duty_store.cc
@@ -52,6 +52,14 @@
   return node;
 }
 
+// @return whether @p held is JSON with the content of @p written; the store may
+//         have another order, and another writer may have replaced it.
+bool HoldsSameJson(const std::string& held, const std::string& written) {
+  boost::system::error_code error;
+  const auto value = boost::json::parse(held, error);
+  return !error && value == boost::json::parse(written);
+}
+
 // @param field "address" for peers' datagrams, "admin" for the admin interface,
 //        "passed_requests" for requests of peers.
 std::optional<settings::ip_endpoint> EndpointIn(const std::string& statement,
@@ -186,27 +194,32 @@
 }
 
 void fleet_duty::TakeReplica(const store::object& object, bool deleted) {
-  const auto now = clock_.Now();
   const base::instance_id id(object.key.name);
   const auto entry =
       deleted ? std::nullopt : wire_.ReadReplica(id.str(), object.value);
-  if (!entry) {
-    const auto known = replicas_.replicas().find(id);
-    const std::string service =
-        known == replicas_.replicas().end() ? "" : known->second.service;
-    const bool gone = replicas_.Delete(id, now);
-    if (service.empty())
-      return;
-    telemetry::LogChange("fleet", gone ? "replica_gone" : "replica_lapsed",
-                         {{"instance", id.str()},
-                          {"service", service},
-                          {"revision", object.version.value()},
-                          {"unreadable", !deleted}});
-    if (gone)
-      Forget(id, service);
+  if (entry) {
+    AddReplica(*entry, "list", object.version);
     return;
   }
-  AddReplica(*entry, "list", object.version);
+  if (!deleted) {
+    unusable_entries_.Add();
+    newly_unusable_.push_back({id, object.version});
+  }
+  const auto now = clock_.Now();
+  const auto known = replicas_.replicas().find(id);
+  const std::string service =
+      known == replicas_.replicas().end() ? "" : known->second.service;
+  const bool gone =
+      deleted ? replicas_.Delete(id, now) : replicas_.Withdraw(id, now);
+  if (service.empty())
+    return;
+  telemetry::LogChange("fleet", gone ? "replica_gone" : "replica_lapsed",
+                       {{"instance", id.str()},
+                        {"service", service},
+                        {"revision", object.version.value()},
+                        {"unusable", !deleted}});
+  if (gone)
+    Forget(id, service);
 }
 
 void fleet_duty::AddReplica(const fleet::replica& entry,
@@ -271,6 +284,25 @@
                         {"revision", listed.back().revision.value()}});
 }
 
+// Logs the entries that name no usable replica, each once per revision.
+void fleet_duty::LogNewlyUnusable() {
+  const auto unusable = std::exchange(newly_unusable_, {});
+  if (unusable.size() <= kLoggedSingly) {
+    for (const unusable_entry& each : unusable)
+      telemetry::LogChange(
+          "fleet", "entry_unusable",
+          {{"instance", each.id.str()}, {"revision", each.revision.value()}},
+          telemetry::log_level::kWarning);
+    return;
+  }
+  telemetry::LogChange("fleet", "entries_unusable",
+                       {{"count", unusable.size()},
+                        {"first", unusable.front().id.str()},
+                        {"last", unusable.back().id.str()},
+                        {"revision", unusable.back().revision.value()}},
+                       telemetry::log_level::kWarning);
+}
+
 void fleet_duty::LearnLeaving(const gateway::replica_process& process,
                               std::string_view source) {
   if (!replicas_.RecordLeaving(process, clock_.Now()))
@@ -319,6 +351,11 @@
       return;
     }
     const auto address = deleted ? std::nullopt : AddressIn(object.value);
+    if (!deleted && !address)
+      telemetry::LogChange(
+          "fleet", "node_entry_unusable",
+          {{"node", node.str()}, {"revision", object.version.value()}},
+          telemetry::log_level::kWarning);
     nodes_changed_ = true;
     const auto admin =
         deleted ? std::nullopt : EndpointIn(object.value, "admin");
@@ -349,9 +386,7 @@
                     passed_address_, nodes_.at(self_));
   if (!fleet_listed_ || registering_ || clock_.Now() < register_not_before_)
     return;
-  // The store may have written the JSON in another order.
-  if (own_entry_ &&
-      boost::json::parse(own_entry_->value) == boost::json::parse(value))
+  if (own_entry_ && HoldsSameJson(own_entry_->value, value))
     return;
   registering_ = true;
   store::call write;
--- a/packages/fleet/peer_status.cc
+++ b/packages/fleet/peer_status.cc
@@ -8,6 +8,7 @@
 #include <tuple>
 #include <utility>
 
+#include "base/json_text.h"
 #include "base/milliseconds.h"
 
 namespace flamingoshunt::fleet {
@@ -453,21 +454,19 @@
 }
 
 std::vector<peer_status> DecodeDatagram(std::string_view text) {
-  try {
-    const json::value read =
-        json::parse(json::string_view(text.data(), text.size()));
-    std::vector<peer_status> statuses;
-    if (read.is_object()) {
-      statuses.push_back(DecodeStatus(read.get_object()));
-      return statuses;
+  std::vector<peer_status> statuses;
+  // A relay bundles statuses of several nodes, each of which counts by itself.
+  for (const std::string_view part :
+       base::SplitJsonArray(text).value_or(std::vector{text})) {
+    try {
+      statuses.push_back(
+          DecodeStatus(json::parse(json::string_view(part.data(), part.size()))
+                           .as_object()));
+    } catch (const std::exception&) {
+      // Foreign or damaged; the sender repeats its state in the next datagram.
     }
-    for (const json::value& status : read.as_array())
-      statuses.push_back(DecodeStatus(status.as_object()));
-    return statuses;
-  } catch (const std::exception&) {
-    // Foreign or damaged; the sender repeats its state in the next datagram.
-    return {};
   }
+  return statuses;
 }
 
 bool peer_table::Apply(peer_status status, base::time_point now) {
--- a/packages/fleet/peer_status.h
+++ b/packages/fleet/peer_status.h
@@ -139,8 +139,8 @@
 /// kMaxDatagramBytes unless a single status exceeds it.
 std::vector<std::string> BundleStatuses(const std::vector<std::string>& texts);
 
-/// @return the statuses of a datagram, bundled or single; empty if any part is
-///         not a peer status.
+/// @return the statuses of a datagram, bundled or single, without those that
+///         can't be read.
 std::vector<peer_status> DecodeDatagram(std::string_view text);
 
 /// The latest status of each peer.
--- a/packages/fleet/replica_directory.cc
+++ b/packages/fleet/replica_directory.cc
@@ -136,6 +136,17 @@
   return true;
 }
 
+bool replica_directory::Withdraw(const base::instance_id& id,
+                                 base::time_point now) {
+  if (set_aside_.erase(id) > 0)
+    removed_.at(id).recorded_at = now;
+  if (!replicas_.contains(id))
+    return false;
+  Remove(id, now);
+  lapsed_until_.erase(id);
+  return true;
+}
+
 std::vector<base::instance_id> replica_directory::Expire(base::time_point now) {
   std::vector<base::instance_id> gone;
   for (auto it = lapsed_until_.begin(); it != lapsed_until_.end();) {
--- a/packages/fleet/replica_directory.h
+++ b/packages/fleet/replica_directory.h
@@ -39,10 +39,15 @@
   bool RecordLeaving(const gateway::replica_process& process,
                      base::time_point now);
 
-  /// Handles a deletion, or an entry without a usable replica.
+  /// Handles a deletion.
   /// @return whether the replica was removed at once.
   bool Delete(const base::instance_id& id, base::time_point now);
 
+  /// Handles an entry that no longer names a usable replica, which is removed
+  /// at once: the entry has not lapsed.
+  /// @return whether the replica was known.
+  bool Withdraw(const base::instance_id& id, base::time_point now);
+
   /// @param heartbeat interval at which replicas renew their entries.
   /// @return the shortest outage in which entries can lapse.
   static base::duration ShortestLapse(base::duration heartbeat);
--- a/packages/fleet/tests/fuzz/malformed_datagrams_are_dropped.cc
+++ b/packages/fleet/tests/fuzz/malformed_datagrams_are_dropped.cc
@@ -25,6 +25,19 @@
   CHECK(read < 5000);
 }
 
+TEST_CASE("A damaged status in a bundle leaves the others readable") {
+  peer_status first;
+  first.node = base::node_id("a");
+  peer_status last;
+  last.node = base::node_id("c");
+  const auto read =
+      DecodeDatagram("[" + EncodePeerStatus(first) + R"(,{"node":"\udcff"},)" +
+                     EncodePeerStatus(last) + "]");
+  REQUIRE(read.size() == 2);
+  CHECK(read.front().node == first.node);
+  CHECK(read.back().node == last.node);
+}
+
 TEST_CASE("Damaged bundles of digests are rejected or decoded, not passed on") {
   peer_status digest;
   digest.kind = status_kind::kDigest;
--- a/packages/store/messages.h
+++ b/packages/store/messages.h
@@ -32,7 +32,8 @@
 struct object {
   object_key key;
   base::revision version;
-  std::string value;  ///< JSON text, at most 1 MiB.
+  /// JSON text, at most 1 MiB; another writer's may be no JSON at all.
+  std::string value;
   bool operator==(const object&) const = default;
 };
 
