Order nothing where a replica's report is missing

It sent all queries at once; on a small node most of 875 time out, and a second time-out marked a sound replica as lost. A member of an open group whose entry was older than the group looked free and was ordered to join without a leave before. Groups that looked incomplete were closed though they served. And a leave answered with a conflict counted as carried out, though it says that the replica is in another group than was known.

Now the groups of a fabric domain are rebuilt once all its replicas have reported to this leader or are lost; until then nothing is ordered there, and heads that serve as far as is known are announced. Eight queries are on their way at a time, domain by domain. A join needs a report, or an accepted leave, of the last three seconds; a conflict asks for a report. What an earlier term lost is asked again. An answer of an earlier process counts as none, so that it can't hold up its domain.

Logs first: groups.order says how old the knowledge of the membership was, groups.inventory_partial and inventory_complete how many replicas had reported.

Ruled out as sufficient: a longer inventory. A replica that doesn't answer would hold up everything, and any fixed time is too short for some node.

--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/udp.hpp>
@@ -86,6 +87,8 @@
     groups::planner planner;
     std::uint64_t begun_term = 0;  ///< Term that the planner works under.
     bool is_leader = false;
+    /// Term and stage of the inventory that were logged last.
+    std::pair<std::uint64_t, groups::inventory::stage> logged_inventory{};
     /// As the leader's queries show it; each loss is verified.
     gateway::endpoint_reach reach;
   };
@@ -231,6 +234,7 @@
   void LearnLeavingFrom(const base::instance_id& id,
                         const runtime::http_response_head& head);
   void LogChanges(const std::string& name, acting_service& of);
+  void LogInventory(const std::string& name, acting_service& of);
 
   // The entry thread:
   void TakeEntryNews(gateway::entry_update&& news);
--- a/packages/daemon/fleet_duty_groups.cc
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -5,6 +5,7 @@
 #include <exception>
 #include <utility>
 
+#include "base/milliseconds.h"
 #include "daemon/fleet_duty.h"
 #include "gateway/endpoint_probe.h"
 #include "runtime/fiber_scheduler.h"
@@ -138,6 +139,7 @@
   const auto before = of.planner.announcement().edition;
   const groups::plan plan = of.planner.Tick(now);
   LogChanges(name, of);
+  LogInventory(name, of);
   if (of.planner.announcement().edition != before) {
     groups_serving_.Set(
         static_cast<std::int64_t>(of.planner.announcement().groups.size()));
@@ -164,6 +166,21 @@
   }
 }
 
+void fleet_duty::LogInventory(const std::string& name, acting_service& of) {
+  const std::pair reached(of.begun_term, of.planner.inventory_stage());
+  if (std::exchange(of.logged_inventory, reached) == reached)
+    return;
+  const groups::inventory known = of.planner.Inventory(clock_.Now());
+  telemetry::LogChange("groups", groups::NameOf(reached.second),
+                       {{"service", name},
+                        {"term", of.begun_term},
+                        {"replicas", known.replicas},
+                        {"reported", known.reported},
+                        {"lost", known.lost},
+                        {"unsettled_domains", known.unsettled_domains},
+                        {"after_ms", base::WholeMilliseconds(known.elapsed)}});
+}
+
 void fleet_duty::Carry(const std::string& name, const groups::plan& plan) {
   for (const fleet::order& order : plan.orders)
     runtime::SpawnFiber([this, name, order] { SendOrder(name, order); });
@@ -203,10 +220,15 @@
   } catch (const std::exception& error) {
     LogExchangeFailed(order.to, error);
   }
+  const bool known = order.membership_known_at != base::time_point();
+  const std::int64_t membership_age =
+      known ? base::WholeMilliseconds(clock_.Now() - order.membership_known_at)
+            : -1;
   telemetry::LogChange("groups", "order",
                        {{"instance", order.to.str()},
                         {"order", fleet::NameOf(order.body)},
                         {"fence", order.fence},
+                        {"membership_age_ms", membership_age},
                         {"result", fleet::NameOf(result)}});
   acting_service& of = *services_.at(service);
   if (of.begun_term != order.term)
--- a/packages/fleet/order.h
+++ b/packages/fleet/order.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/ids.h"
 
 namespace flamingoshunt::fleet {
@@ -63,6 +64,9 @@
   /// replica rejects a delayed order after a later one.
   std::uint64_t fence = 0;
   order_body body;
+  /// When the sender last learned which group the replica is in, if any; epoch
+  /// if it knows that from the platform's list alone.
+  base::time_point membership_known_at{};
 };
 
 /// A replica's answer to an order. NameOf gives the names in logs.
--- a/packages/groups/planner.cc
+++ b/packages/groups/planner.cc
@@ -28,6 +28,18 @@
   return "unknown";
 }
 
+const char* NameOf(inventory::stage stage) {
+  switch (stage) {
+    case inventory::stage::kCollecting:
+      return "inventory_begun";
+    case inventory::stage::kPartial:
+      return "inventory_partial";
+    case inventory::stage::kComplete:
+      return "inventory_complete";
+  }
+  return "unknown";
+}
+
 planner::planner(std::string service) : service_(std::move(service)) {}
 
 void planner::SetLayout(const gateway::engine_profile& layout) {
@@ -59,7 +71,8 @@
     UpdateAddressHolder(previous_address);
   if (added) {
     last_listed_ = now;
-    replica.query_due = !adopted_ && term_ != 0;
+    replica.query_due = term_ != 0;
+    NoteDomain(listed.engine.fabric_domain);
     return;
   }
   if (listed.engine.started_ms > known_engine.started_ms) {
@@ -81,6 +94,7 @@
 void planner::ResetOrderState(replica_state& replica) {
   replica.accepted_join_group.clear();
   replica.loading_model.clear();
+  replica.membership_known_at = {};
   replica.lost = false;
   replica.lost_since.reset();
   replica.failed_queries = 0;
@@ -114,19 +128,30 @@
   }
   replica->query_sent_at.reset();
   replica->inconclusive = false;
-  replica->failed_queries = 0;
-  if (state.started_ms < replica->record.engine.started_ms)
+  if (state.started_ms < replica->record.engine.started_ms) {
+    // An earlier process answers in its place.
+    OnUnreachable(id, false, now);
     return;
+  }
   if (state.started_ms > replica->record.engine.started_ms)
     ResetOrderState(*replica);
+  replica->failed_queries = 0;
   replica->lost = false;
   replica->connection_refused = false;
   replica->lost_since.reset();
   replica->reported_at = now;
+  replica->membership_known_at = now;
   const base::fabric_domain_id domain = replica->record.engine.fabric_domain;
   replica->record.engine = state;
   if (state.fabric_domain.empty())
     replica->record.engine.fabric_domain = domain;
+  NoteDomain(replica->record.engine.fabric_domain);
+}
+
+// A domain that appears later than the term has to be settled like the others.
+void planner::NoteDomain(const base::fabric_domain_id& domain) {
+  if (!domain.empty() && !IsSettled(domain))
+    all_settled_ = false;
 }
 
 void planner::OnUnreachable(const base::instance_id& id,
@@ -237,7 +262,8 @@
   const std::uint64_t number = next_order_++;
   out.orders.push_back({fleet::order_id(number), replica.record.id,
                         replica.record.address, term_,
-                        term_ * kFencesPerTerm + number, std::move(body)});
+                        term_ * kFencesPerTerm + number, std::move(body),
+                        replica.membership_known_at});
 }
 
 void planner::OnOrderResult(const fleet::order& order,
@@ -262,10 +288,16 @@
     replica->join_accepted_at = now;
   }
   const auto* leave = std::get_if<fleet::leave_group>(&order.body);
-  if (leave && (accepted || result == fleet::order_result::kStateConflict)) {
+  if (leave && accepted) {
     replica->left_epoch = leave->epoch;
+    replica->membership_known_at = now;
     replica->next_order_at = now;
   }
+  if (leave && result == fleet::order_result::kStateConflict) {
+    // It is in another group than was known, or in none.
+    replica->membership_known_at = {};
+    replica->query_due = true;
+  }
   const auto* close = std::get_if<fleet::close_group>(&order.body);
   if (close && (accepted || result == fleet::order_result::kStateConflict)) {
     replica->handled_close_epoch = close->epoch;
@@ -300,21 +332,15 @@
   plan out;
   if (!layout_ || term_ == 0)
     return out;
-  if (!adopted_) {
-    const bool all_reported =
-        !replicas_.empty() &&
-        std::all_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
-          return entry.second.reported_at != base::time_point() ||
-                 entry.second.lost || entry.second.unlisted ||
-                 IsDisplaced(entry.second);
-        });
-    if (!all_reported && now < inventory_until_) {
-      QueryDueReplicas(out, now);
-      return out;
-    }
-    AdoptGroups(now);
-    AdoptLoads(now);
+  if (!adopted_ && now < term_began_at_ + kInventoryTime &&
+      (replicas_.empty() || !UnsettledDomains().empty())) {
+    QueryDueReplicas(out, now);
+    return out;
   }
+  if (!all_settled_)
+    SettleDomains(now);
+  if (!adopted_)
+    AdoptProvisionally(now);
   for (auto& [id, replica] : replicas_) {
     const auto& staged = replica.record.engine.staged_models;
     const auto& membership = replica.record.engine.member;
@@ -329,6 +355,10 @@
   }
   for (auto it = groups_.begin(); it != groups_.end();) {
     group& group = it->second;
+    if (group.provisional) {
+      ++it;
+      continue;
+    }
     if (group.phase == group_phase::kForming)
       StepForming(group, out, now);
     else if (group.phase == group_phase::kOpening)
@@ -352,7 +382,7 @@
   const bool list_settled =
       first_request_seen_ || now - last_listed_ >= kListSettleTime;
   FormGroups(list_settled, now);
-  if (list_settled)
+  if (list_settled && all_settled_)
     RebalanceModels(now);
   if (list_settled)
     StageWarmSpares(out, now);
@@ -367,7 +397,7 @@
 
 base::time_point planner::NextTimer(base::time_point now) const {
   const bool busy =
-      !adopted_ ||
+      !all_settled_ ||
       std::any_of(groups_.begin(), groups_.end(),
                   [](const auto& entry) {
                     return entry.second.phase != group_phase::kServing;
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -48,6 +48,9 @@
   std::uint64_t head_started_ms = 0;  ///< Start time of the head's process.
   /// Set while the head accepts no requests.
   std::optional<base::time_point> head_draining_since;
+  /// Taken over from a head that serves before all replicas of its domain have
+  /// reported; it gets no orders until they have.
+  bool provisional = false;
   const base::instance_id& head() const { return members.front(); }
 };
 
@@ -69,14 +72,28 @@
   std::string event;  ///< "forming", "serving", "closing", ...
 };
 
+/// How far a new leader knows the replicas' own reports.
+struct inventory {
+  enum class stage { kCollecting, kPartial, kComplete };
+  std::size_t replicas = 0;
+  std::size_t reported = 0;  ///< Under this leader.
+  std::size_t lost = 0;
+  std::size_t unsettled_domains = 0;  ///< Where a report is missing.
+  base::duration elapsed{};           ///< Since the term began.
+};
+
+/// @return the name of the event in logs.
+const char* NameOf(inventory::stage stage);
+
 class planner {
  public:
   explicit planner(std::string service);
 
   void SetLayout(const gateway::engine_profile& layout);
 
-  /// Starts to lead under @p term. The groups are rebuilt from the replicas'
-  /// reports alone.
+  /// Starts to lead under @p term. The groups of each fabric domain are rebuilt
+  /// once all its replicas have reported or are lost; until then nothing is
+  /// ordered there.
   void BeginTerm(std::uint64_t term, base::time_point now);
 
   /// An entry of the platform's list, which lags behind reports.
@@ -126,12 +143,24 @@
 
   std::vector<group_change> TakeChanges();
 
+  inventory::stage inventory_stage() const {
+    if (all_settled_)
+      return inventory::stage::kComplete;
+    return adopted_ ? inventory::stage::kPartial
+                    : inventory::stage::kCollecting;
+  }
+  /// @return the state of the inventory, for the log.
+  inventory Inventory(base::time_point now) const;
+
   const std::map<std::string, group>& groups() const { return groups_; }
 
  private:
   struct replica_state {
     fleet::replica record;
-    base::time_point reported_at{};  ///< Last report; epoch if none.
+    /// Last report in this term; epoch if none.
+    base::time_point reported_at{};
+    /// Last report or accepted order to leave; epoch if neither tells.
+    base::time_point membership_known_at{};
     std::optional<base::time_point> query_sent_at;
     int failed_queries = 0;     ///< Consecutive failed queries.
     bool lost = false;          ///< Believed to be unreachable.
@@ -167,8 +196,20 @@
   base::duration ExpectedJoinTime(const replica_state& replica,
                                   const std::string& model) const;
 
-  void AdoptGroups(base::time_point now);
-  void AdoptLoads(base::time_point now);
+  bool HasAnswered(const replica_state& replica) const;
+  bool IsSettled(const base::fabric_domain_id& domain) const {
+    return settled_domains_.contains(domain);
+  }
+  /// @return the domains where a replica has not answered.
+  std::set<base::fabric_domain_id> UnsettledDomains() const;
+  void NoteDomain(const base::fabric_domain_id& domain);
+  /// Adopts the groups of the domains where all replicas have answered.
+  void SettleDomains(base::time_point now);
+  /// Adopts groups in other domains whose heads serve as far as is known.
+  void AdoptProvisionally(base::time_point now);
+  void DropProvisional(const base::fabric_domain_id& domain);
+  void AdoptGroups(const base::fabric_domain_id& domain, base::time_point now);
+  void AdoptLoads(const base::fabric_domain_id& domain, base::time_point now);
   const gateway::model_layout* InferModel(
       const std::vector<const replica_state*>& members) const;
   void StepForming(group& group, plan& out, base::time_point now);
@@ -204,6 +245,7 @@
                            const base::fabric_domain_id& domain) const;
   void StageWarmSpares(plan& out, base::time_point now);
   void QueryDueReplicas(plan& out, base::time_point now);
+  void QueryForInventory(plan& out, base::time_point now);
   std::vector<const replica_state*> FreeReplicasIn(
       const base::fabric_domain_id& domain) const;
   std::set<base::fabric_domain_id> FabricDomains() const;
@@ -225,8 +267,10 @@
   std::uint64_t term_ = 0;
   std::uint64_t epochs_used_ = 0;  ///< Epochs assigned in this term.
   std::uint64_t names_used_ = 0;
-  bool adopted_ = false;
-  base::time_point inventory_until_{};
+  bool adopted_ = false;  ///< At least provisionally, in all domains.
+  bool all_settled_ = false;
+  std::set<base::fabric_domain_id> settled_domains_;
+  base::time_point term_began_at_{};
   base::time_point last_listed_{};
   bool first_request_seen_ = false;
   std::map<base::instance_id, replica_state> replicas_;
--- a/packages/groups/planner_adoption.cc
+++ b/packages/groups/planner_adoption.cc
@@ -13,6 +13,8 @@
   epochs_used_ = 0;
   names_used_ = 0;
   adopted_ = false;
+  all_settled_ = false;
+  settled_domains_.clear();
   groups_.clear();
   group_of_.clear();
   announcement_ = {};
@@ -22,14 +24,100 @@
     replica.order_pending = false;
     replica.accepted_join_group.clear();
     replica.reported_at = {};
+    replica.membership_known_at = {};
+    replica.left_epoch = {};
+    // An earlier term may have lost it for a trouble of this node.
+    replica.lost = false;
+    replica.lost_since.reset();
+    replica.failed_queries = 0;
   }
-  inventory_until_ = now + kInventoryTime;
+  term_began_at_ = now;
+}
+
+// @return whether its state is known in this term, or that it won't answer.
+bool planner::HasAnswered(const replica_state& replica) const {
+  return replica.reported_at != base::time_point() || replica.lost ||
+         replica.unlisted || IsDisplaced(replica);
+}
+
+std::set<base::fabric_domain_id> planner::UnsettledDomains() const {
+  std::set<base::fabric_domain_id> unsettled;
+  for (const auto& [id, replica] : replicas_) {
+    const auto& domain = replica.record.engine.fabric_domain;
+    if (!IsSettled(domain) && !HasAnswered(replica))
+      unsettled.insert(domain);
+  }
+  return unsettled;
+}
+
+void planner::SettleDomains(base::time_point now) {
+  const auto unsettled = UnsettledDomains();
+  for (const auto& domain : FabricDomains()) {
+    if (unsettled.contains(domain) || !settled_domains_.insert(domain).second)
+      continue;
+    DropProvisional(domain);
+    AdoptGroups(domain, now);
+    AdoptLoads(domain, now);
+  }
+  all_settled_ = !replicas_.empty() && unsettled.empty();
+}
+
+void planner::AdoptProvisionally(base::time_point now) {
+  adopted_ = true;
+  for (const auto& domain : UnsettledDomains()) {
+    AdoptLoads(domain, now);
+    for (const auto& [id, head] : replicas_) {
+      const auto& membership = head.record.engine.member;
+      if (head.record.engine.fabric_domain != domain || !membership ||
+          membership->rank != 0 || !IsUsable(head) ||
+          membership->state != fleet::member_state::kOpen ||
+          groups_.contains(membership->group))
+        continue;
+      group adopted_group;
+      adopted_group.name = membership->group;
+      adopted_group.epoch = membership->epoch;
+      adopted_group.model = head.record.engine.model;
+      adopted_group.members = {id};
+      adopted_group.provisional = true;
+      group_of_[id] = adopted_group.name;
+      SetPhase(groups_[adopted_group.name] = std::move(adopted_group),
+               group_phase::kServing, now, "provisional");
+    }
+  }
+}
+
+void planner::DropProvisional(const base::fabric_domain_id& domain) {
+  for (auto it = groups_.begin(); it != groups_.end();) {
+    const replica_state* head = Find(it->second.head());
+    const bool is_here = !head || head->record.engine.fabric_domain == domain;
+    if (!it->second.provisional || !is_here) {
+      ++it;
+      continue;
+    }
+    group_of_.erase(it->second.head());
+    it = groups_.erase(it);
+  }
+}
+
+inventory planner::Inventory(base::time_point now) const {
+  inventory known;
+  known.replicas = replicas_.size();
+  for (const auto& [id, replica] : replicas_) {
+    known.reported += replica.reported_at != base::time_point() ? 1 : 0;
+    known.lost += replica.lost ? 1 : 0;
+  }
+  known.unsettled_domains = UnsettledDomains().size();
+  known.elapsed = now - term_began_at_;
+  return known;
 }
 
 // Counts the loads that an earlier leader started, since more loads at once
 // would slow down all of them.
-void planner::AdoptLoads(base::time_point now) {
+void planner::AdoptLoads(const base::fabric_domain_id& domain,
+                         base::time_point now) {
   for (auto& [id, replica] : replicas_) {
+    if (replica.record.engine.fabric_domain != domain)
+      continue;
     const auto& membership = replica.record.engine.member;
     const bool is_joining =
         membership && membership->state == fleet::member_state::kJoining;
@@ -65,14 +153,16 @@
   return is_unique ? &*first : nullptr;
 }
 
-// Rebuilds the groups from the memberships that the replicas report.
-void planner::AdoptGroups(base::time_point now) {
-  adopted_ = true;
+// Rebuilds the groups of a domain from the memberships that its replicas
+// report.
+void planner::AdoptGroups(const base::fabric_domain_id& domain,
+                          base::time_point now) {
   std::map<std::pair<std::string, base::epoch>,
            std::vector<const replica_state*>>
       members_by_group;
   for (const auto& [id, replica] : replicas_) {
-    if (replica.record.engine.member && !IsDisplaced(replica))
+    if (replica.record.engine.fabric_domain == domain &&
+        replica.record.engine.member && !IsDisplaced(replica))
       members_by_group[{replica.record.engine.member->group,
                         replica.record.engine.member->epoch}]
           .push_back(&replica);
--- a/packages/groups/planner_bounds.h
+++ b/packages/groups/planner_bounds.h
@@ -4,6 +4,7 @@
 #define FLAMINGOSHUNT_GROUPS_PLANNER_BOUNDS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace flamingoshunt::groups {
@@ -20,9 +21,15 @@
 // The platform's list lags behind. A listed state overrides a report only if
 // the report is at least this old.
 inline constexpr milliseconds kListLag{1500};
-// How long a new leader waits for the replicas' reports before it rebuilds the
-// groups.
+// How long a new leader waits for all reports before it announces the groups
+// that serve. Whatever depends on a missing report waits for that one.
 inline constexpr milliseconds kInventoryTime{600};
+// Queries of the inventory on their way at once: a small node that sent
+// hundreds would see them all time out.
+inline constexpr std::size_t kInventoryQueries = 8;
+// A replica is ordered to join only if its membership was known this recently:
+// an earlier leader that was paused may still send orders.
+inline constexpr milliseconds kMembershipFreshness{3000};
 inline constexpr milliseconds kListSettleTime{400};
 // Delay before an order that was not accepted is sent again.
 inline constexpr milliseconds kOrderRetryDelay{300};
--- a/packages/groups/planner_forming.cc
+++ b/packages/groups/planner_forming.cc
@@ -11,9 +11,12 @@
 std::vector<const planner::replica_state*> planner::FreeReplicasIn(
     const base::fabric_domain_id& domain) const {
   std::vector<const replica_state*> free;
+  if (!IsSettled(domain))
+    return free;
   for (const auto& [id, replica] : replicas_) {
-    if (replica.record.engine.fabric_domain == domain && IsUsable(replica) &&
-        !group_of_.contains(id))
+    const bool has_reported = replica.reported_at != base::time_point();
+    if (replica.record.engine.fabric_domain == domain && has_reported &&
+        IsUsable(replica) && !group_of_.contains(id))
       free.push_back(&replica);
   }
   return free;
--- a/packages/groups/planner_phases.cc
+++ b/packages/groups/planner_phases.cc
@@ -52,6 +52,8 @@
     if (other_group && replica->left_epoch != other_group->epoch)
       Send(*replica, fleet::leave_group{other_group->group, other_group->epoch},
            out);
+    else if (now - replica->membership_known_at > kMembershipFreshness)
+      replica->query_due = true;
     else
       Send(*replica,
            fleet::join_group{group.name, group.epoch, group.model,
--- a/packages/groups/planner_queries.cc
+++ b/packages/groups/planner_queries.cc
@@ -19,13 +19,43 @@
   out.report_queries.push_back({replica.record.id, replica.record.address});
 }
 
+// Queries domain by domain, so that the first ones are settled early.
+void planner::QueryForInventory(plan& out, base::time_point now) {
+  std::vector<replica_state*> missing;
+  std::size_t on_their_way = 0;
+  for (auto& [id, replica] : replicas_) {
+    if (HasAnswered(replica))
+      continue;
+    if (replica.query_sent_at && now - *replica.query_sent_at < kQueryTimeout)
+      ++on_their_way;
+    else if (replica.query_due || replica.query_sent_at)
+      missing.push_back(&replica);
+    else if (replica.inconclusive &&
+             now - replica.last_queried >= kQueryIntervalInconclusive)
+      missing.push_back(&replica);
+  }
+  std::stable_sort(missing.begin(), missing.end(),
+                   [](const replica_state* left, const replica_state* right) {
+                     return left->record.engine.fabric_domain <
+                            right->record.engine.fabric_domain;
+                   });
+  for (replica_state* replica : missing) {
+    if (on_their_way++ >= kInventoryQueries)
+      return;
+    QueryReport(*replica, out, now);
+  }
+}
+
 void planner::QueryDueReplicas(plan& out, base::time_point now) {
   const auto query_every = [&](replica_state& replica,
                                base::duration interval) {
     if (now - std::max(replica.last_queried, replica.reported_at) >= interval)
       QueryReport(replica, out, now);
   };
+  QueryForInventory(out, now);
   for (auto& [id, replica] : replicas_) {
+    if (!HasAnswered(replica))
+      continue;  // Has its turn in the inventory.
     if (replica.query_due)
       QueryReport(replica, out, now);
     else if (replica.inconclusive)
--- a/packages/groups/tests/fake_replicas.h
+++ b/packages/groups/tests/fake_replicas.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/random.h"
@@ -50,8 +51,10 @@
     bool opening = false;
   };
 
-  fake_replicas(int domains, int replicas_per_domain)
-      : layout_(TwoModelLayout()) {
+  fake_replicas(int domains,
+                int replicas_per_domain,
+                gateway::engine_profile layout = TwoModelLayout())
+      : layout_(std::move(layout)) {
     for (int domain = 0; domain < domains; ++domain) {
       for (int i = 0; i < replicas_per_domain; ++i)
         Add(domain);
@@ -89,8 +92,13 @@
       const plan next = leader.Tick(now_);
       for (const fleet::order& order : next.orders)
         DeliverOrder(leader, order);
-      for (const report_query& query : next.report_queries)
-        AnswerQuery(leader, query.to);
+      for (const report_query& query : next.report_queries) {
+        if (answers_per_step > 0)
+          queries_.push_back({now_, query.to});
+        else
+          AnswerQuery(leader, query.to);
+      }
+      AnswerWaitingQueries(leader);
       for (const group_change& change : leader.TakeChanges()) {
         if (on_change)
           on_change(change);
@@ -121,6 +129,10 @@
   /// Share of orders that get no answer and are executed late.
   double late_share = 0;
   bool leader_cut_off = false;  ///< And knows it.
+  /// Queries that a busy leader handles in a step of 10 ms, in their order; all
+  /// at once if 0. Those that wait for longer than its bound have failed.
+  int answers_per_step = 0;
+  static constexpr milliseconds kQueryBound{170};
   base::random_engine random{1};
 
  private:
@@ -129,6 +141,23 @@
     fleet::order order;
   };
 
+  struct waiting_query {
+    base::time_point sent_at;
+    base::instance_id to;
+  };
+
+  void AnswerWaitingQueries(planner& leader) {
+    for (int answered = 0; answered < answers_per_step && !queries_.empty();
+         ++answered) {
+      const waiting_query next = queries_.front();
+      queries_.pop_front();
+      if (now_ - next.sent_at > kQueryBound)
+        leader.OnUnreachable(next.to, false, now_);
+      else
+        AnswerQuery(leader, next.to);
+    }
+  }
+
   bool IsComplete(const host& head) const {
     return std::all_of(
         head.members.begin(), head.members.end(), [&](const auto& id) {
@@ -335,6 +364,7 @@
   std::map<base::instance_id, std::pair<std::string, base::time_point>>
       staging_;
   std::deque<late_order> late_;
+  std::deque<waiting_query> queries_;
   std::vector<std::string> violations_;
 };
 
