Give silent connections up within their bound

Cause: the keepalive settings derived from a bound of 2.4 s, one second idle and three probes a second apart, add up to 4 s.

Now idle time and probes add up to the bound at most, and watches have one of 3 s: two probes, of which one may be lost.

Ruled out: a call that had gone unanswered since 10.1 s (after_ms counts from the silence that the kernel is believed to have seen), and a late fiber (all watches end in one millisecond). Doubting the watches after another call's failure would help only nodes that make calls.

--- a/packages/runtime/tcp.cc
+++ b/packages/runtime/tcp.cc
@@ -5,20 +5,21 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <cstdint>
 
 namespace flamingoshunt::runtime {
 namespace {
 
-constexpr int kKeepaliveProbes = 3;
-
 void SetOptions(int socket, base::duration silence) {
   const auto milliseconds = static_cast<unsigned>(
       std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
   const int enabled = 1;
-  const int idle_seconds = std::max(1, static_cast<int>(milliseconds / 2000));
-  const int interval_seconds = std::max(1, idle_seconds / kKeepaliveProbes);
+  const keepalive probes = KeepaliveWithin(silence);
+  const auto idle_seconds = static_cast<int>(probes.idle.count());
+  const auto interval_seconds = static_cast<int>(probes.interval.count());
   // A socket that refuses an option still works; only its silence is noticed
   // later, by the progress bounds of the layers above.
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
@@ -29,12 +30,25 @@
              sizeof(idle_seconds));
   setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &interval_seconds,
              sizeof(interval_seconds));
-  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kKeepaliveProbes,
-             sizeof(kKeepaliveProbes));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes.count,
+             sizeof(probes.count));
 }
 
 }  // namespace
 
+keepalive KeepaliveWithin(base::duration silence) {
+  constexpr std::chrono::seconds kShortest{2};  // One second and one probe.
+  constexpr std::int64_t kMaxProbes = 3;
+  const auto bound = std::max(
+      kShortest, std::chrono::duration_cast<std::chrono::seconds>(silence));
+  keepalive chosen;
+  chosen.idle = bound / 2;
+  const std::int64_t left = (bound - chosen.idle).count();
+  chosen.count = static_cast<int>(std::min(kMaxProbes, left));
+  chosen.interval = std::chrono::seconds(left / chosen.count);
+  return chosen;
+}
+
 tcp::endpoint ParseAddress(const std::string& text) {
   const auto colon = text.rfind(':');
   if (colon == std::string::npos)
--- a/packages/runtime/tcp.h
+++ b/packages/runtime/tcp.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/basic_stream.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <stdexcept>
@@ -79,6 +80,18 @@
 ///         the system doesn't tell.
 std::optional<std::size_t> UnacknowledgedBytes(tcp_stream& stream);
 
+/// Probes of a connection on which nothing arrives; the kernel gives it up
+/// after the idle time and one interval for each of them.
+struct keepalive {
+  std::chrono::seconds idle{};
+  std::chrono::seconds interval{};
+  int count = 0;
+};
+
+/// @return probes that give a connection up within @p silence, or within two
+///         seconds if that is shorter: the kernel counts in whole seconds.
+keepalive KeepaliveWithin(base::duration silence);
+
 /// Sets no-delay, keepalive and TCP_USER_TIMEOUT, so that the kernel gives up
 /// a connection whose other end stopped acknowledging within @p silence.
 void SetSocketOptions(tcp_socket& socket, base::duration silence);
