Skip interim answers before the final one

Cause: http_connection::ReadHead returned the first head, whatever its status. The session then forwarded a status below 500 that promises nothing as the complete answer.

Now heads of 1xx are skipped, eight at most and within the same time; 101 is an error, since no request asks for another protocol. Reports, orders and calls of the store go the same way.

Ruled out: skipping in the session alone; the other users of the connection would keep the fault.

--- a/packages/runtime/http_client.cc
+++ b/packages/runtime/http_client.cc
@@ -23,6 +23,10 @@
 // Bounds what the parser can't use yet: a chunk's header or the trailer may
 // come without end.
 constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
+// Interim answers before the final one.
+constexpr int kMaxInterimAnswers = 8;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr std::size_t kMaxIdlePerAddress = 64;  // connections
 constexpr auto kSilenceBound = std::chrono::seconds(10);
 constexpr int kHttpVersion = 11;  // HTTP/1.1 as Beast counts
@@ -121,9 +125,7 @@
   request_may_have_left_ = false;
   if (closed_)
     throw transport_error(transport_failure::kClosed, address_ + ": closed");
-  parser_.emplace();
-  parser_->header_limit(kMaxAnswerHeaderBytes);
-  parser_->body_limit(boost::none);
+  StartParser();
   request_may_have_left_ = true;
   awaiting_answer_ = true;
   stream_.expires_after(timeout);
@@ -133,15 +135,32 @@
     Fail(sent.error);
 }
 
+void http_connection::StartParser() {
+  parser_.emplace();
+  parser_->header_limit(kMaxAnswerHeaderBytes);
+  parser_->body_limit(boost::none);
+}
+
 http_response_head http_connection::ReadHead(base::duration timeout) {
-  stream_.expires_after(timeout);
-  const io_result read = AwaitIo([&](auto done) {
-    http::async_read_header(stream_, buffer_, *parser_, std::move(done));
-  });
-  if (read.error)
-    Fail(read.error);
-  announced_idle_ = AnnouncedIdle(parser_->get());
-  return HeadOf(parser_->get());
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
+    stream_.expires_at(deadline);
+    const io_result read = AwaitIo([&](auto done) {
+      http::async_read_header(stream_, buffer_, *parser_, std::move(done));
+    });
+    if (read.error)
+      Fail(read.error);
+    const unsigned status = parser_->get().result_int();
+    if (status >= kFirstFinalStatus) {
+      announced_idle_ = AnnouncedIdle(parser_->get());
+      return HeadOf(parser_->get());
+    }
+    // No request asks for another protocol.
+    if (status == kSwitchingProtocols)
+      break;
+    StartParser();
+  }
+  Fail(http::error::bad_status);
 }
 
 bool http_connection::quiet() {
@@ -153,9 +172,7 @@
 void http_connection::ExpectAnother() {
   reusable_ = false;
   awaiting_answer_ = true;
-  parser_.emplace();
-  parser_->header_limit(kMaxAnswerHeaderBytes);
-  parser_->body_limit(boost::none);
+  StartParser();
 }
 
 void http_connection::ReadRest(std::string& out,
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -46,7 +46,8 @@
   /// Writes a whole request. @throws transport_error.
   void Send(http_request& request, base::duration timeout);
 
-  /// Waits for the head of the answer. @throws transport_error.
+  /// Waits for the head of the final answer; interim answers (1xx) before it
+  /// are skipped. @throws transport_error.
   http_response_head ReadHead(base::duration timeout);
 
   /// Appends the remaining body to @p out.
@@ -105,6 +106,7 @@
   using body_parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  void StartParser();
   [[noreturn]] void Fail(const boost::system::error_code& error);
 
   tcp_stream stream_;
