Drop late copies of answers that name no request

Cause: on a connection that is used again, session::ReadAnswer skipped an answer that names another request, but took one without an id for its own. A faulty replica sends its answer once more, late and without the id.

Now an answer without an id on a used connection counts only if it rejects the request: replicas name the request in all other answers. Unsafe requests have a fresh connection each, so a late rejection can't be taken for theirs.

Ruled out: dropping the connection instead of skipping the copy. The request has been sent by then and runs; its own answer follows.

--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -429,6 +429,7 @@
   if (route_->retryable())
     upstream_ = entry_.connections_.TakeIdle(address);
   const bool pooled = upstream_ != nullptr;
+  connection_was_used_ = pooled;
   if (!upstream_) {
     upstream_ = std::make_unique<runtime::http_connection>(entry_.loop_);
     try {
@@ -476,6 +477,7 @@
     if (!closed_while_idle)
       throw;
   }
+  connection_was_used_ = false;
   upstream_ = std::make_unique<runtime::http_connection>(entry_.loop_);
   upstream_->Connect(
       address, std::min<base::duration>(kConnectTimeout, RemainingTime()));
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -79,6 +79,7 @@
   base::time_point CheckPeer(base::time_point now);
   attempt_result RunAttempt(const grant& granted);
   attempt_result SendAttempt(const grant& granted);
+  bool IsStray(const answer_head& answer) const;
   attempt_result ReadAnswer(const grant& granted);
   /// @param granted null if a peer sends the events.
   attempt_result RelayEvents(const grant* granted,
@@ -132,6 +133,8 @@
       current_replica_;                        ///< Of the current attempt.
   std::optional<base::node_id> current_peer_;  ///< Of the current attempt.
   bool replica_stalled_ = false;               ///< In the current attempt.
+  /// The connection of the current attempt had carried another request.
+  bool connection_was_used_ = false;
   bool attempt_has_head_ = false;   ///< Of an answer; in the current attempt.
   bool attempt_has_event_ = false;  ///< In the current attempt.
   bool stall_reported_ = false;     ///< Since the last event.
--- a/packages/gateway/session_answer.cc
+++ b/packages/gateway/session_answer.cc
@@ -52,6 +52,15 @@
 
 }  // namespace
 
+// An answer that belongs to an earlier request on the connection. It may also
+// be a late copy that names no request; of the answers to this one, only those
+// that reject it come without its id.
+bool session::IsStray(const answer_head& answer) const {
+  if (answer.request_id.empty())
+    return connection_was_used_ && !answer.not_run;
+  return answer.request_id != head_.id.str();
+}
+
 session::attempt_result session::ReadAnswer(const grant& granted) {
   for (int stray = 0; stray <= kMaxStrayAnswers; ++stray) {
     const auto head = upstream_->ReadHead(AnswerTimeout());
@@ -61,8 +70,7 @@
       entry_.RecordLeaving(granted.replica, head_.id);
     if (answer.pause)
       entry_.RecordPause(granted.replica, *answer.pause, head_.id);
-    if (!answer.request_id.empty() && answer.request_id != head_.id.str()) {
-      // The answer to an earlier request on this connection.
+    if (IsStray(answer)) {
       std::string discarded;
       upstream_->ReadRest(discarded, kMaxDiscardedBytes, AnswerTimeout());
       upstream_->ExpectAnother();
