Answer what has arrived when a node stops

Cause: StopAccepting closed each connection that was marked idle. The mark ended when the fiber ran on after the read, so a request that had been read, or lay in the socket, was served on a closed connection. And the node counted itself done when no request was running, though one might just have been read.

Now a stop only ends the wait of idle connections; their fibers look once more and serve what has arrived. A node is done when no connection is left, which is when every answer has been written.

Ruled out: looking into the socket before the close. A read that has completed, but whose fiber has not run, leaves nothing there to see.

--- a/packages/daemon/entry_duty.cc
+++ b/packages/daemon/entry_duty.cc
@@ -174,8 +174,13 @@
 }
 
 bool entry_duty::idle() {
-  boost::asio::post(thread_.loop(),
-                    [this] { idle_.store(entry_.running() == 0); });
+  // A connection counts from before its request is running until its answer
+  // has been written.
+  boost::asio::post(thread_.loop(), [this] {
+    const std::size_t open =
+        callers_->connections() + (passed_ ? passed_->connections() : 0);
+    idle_.store(entry_.running() == 0 && open == 0);
+  });
   return idle_.load();
 }
 
--- a/packages/runtime/http_server.cc
+++ b/packages/runtime/http_server.cc
@@ -198,6 +198,7 @@
   void Listen(const std::string& address);
   void AcceptLoop();
   void Serve(connection& peer);
+  io_result AwaitFirstBytes(connection& peer, beast::flat_buffer& buffer);
   bool ServeOne(connection& peer, beast::flat_buffer& buffer);
   void Answer(http_exchange& exchange);
 
@@ -256,34 +257,51 @@
 
 void http_server::state::Serve(connection& peer) {
   beast::flat_buffer buffer;
-  while (accepting && ServeOne(peer, buffer)) {
+  while (ServeOne(peer, buffer)) {
   }
 }
 
+// Only the wait for the first bytes of a request is idle time.
+io_result http_server::state::AwaitFirstBytes(connection& peer,
+                                              beast::flat_buffer& buffer) {
+  if (!accepting && PeekSocket(peer.stream) != socket_state::kHasBytes)
+    return {asio::error::operation_aborted};
+  const auto read_some = [&] {
+    peer.stream.expires_after(options.idle_timeout);
+    const io_result read = AwaitIo([&](auto done) {
+      peer.stream.async_read_some(buffer.prepare(kFirstReadBytes),
+                                  std::move(done));
+    });
+    buffer.commit(read.bytes);
+    return read;
+  };
+  peer.idle = true;
+  io_result read = read_some();
+  peer.idle = false;
+  const bool told_to_stop =
+      !accepting && read.error == asio::error::operation_aborted;
+  if (told_to_stop && PeekSocket(peer.stream) == socket_state::kHasBytes)
+    read = read_some();
+  return read;
+}
+
 bool http_server::state::ServeOne(connection& peer,
                                   beast::flat_buffer& buffer) {
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(options.max_header_bytes));
   parser.body_limit(options.max_body_bytes);
-  peer.idle = true;
-  peer.stream.expires_after(options.idle_timeout);
   io_result read;
-  if (buffer.size() == 0 && options.request_timeout > base::duration::zero()) {
-    // Only the wait for the first byte is idle time.
-    read = AwaitIo([&](auto done) {
-      peer.stream.async_read_some(buffer.prepare(kFirstReadBytes),
-                                  std::move(done));
-    });
-    buffer.commit(read.bytes);
-    peer.idle = false;
-    peer.stream.expires_after(options.request_timeout);
+  if (buffer.size() == 0) {
+    read = AwaitFirstBytes(peer, buffer);
+    peer.stream.expires_after(options.request_timeout > base::duration::zero()
+                                  ? options.request_timeout
+                                  : options.idle_timeout);
   }
   if (!read.error) {
     read = AwaitIo([&](auto done) {
       http::async_read(peer.stream, buffer, parser, std::move(done));
     });
   }
-  peer.idle = false;
   if (read.error) {
     const bool too_large = read.error == http::error::body_limit;
     const bool long_header = read.error == http::error::header_limit;
@@ -356,9 +374,11 @@
   state_->closing = true;
   beast::error_code ignored;
   state_->acceptor.close(ignored);
+  // Their fibers decide: a request may have been read already, or lie in the
+  // socket.
   for (const auto& peer : state_->open) {
     if (peer->idle)
-      peer->stream.close();
+      peer->stream.cancel();
   }
 }
 
