Refuse requests in an unknown transfer encoding

Cause: the parser takes an encoding that isn't chunked for no body, and the server asked only whether the parser was content.

Now such a request gets 400 and its connection is closed, unless the one encoding named is "chunked". Requests passed on by peers come with a length and through the same function.

Ruled out: reading the body to the end of the connection. No caller may send one.

--- a/packages/runtime/http_server.cc
+++ b/packages/runtime/http_server.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -14,6 +15,7 @@
 #include <sys/socket.h>
 
 #include <exception>
+#include <iterator>
 #include <optional>
 
 #include "runtime/fiber_scheduler.h"
@@ -43,6 +45,15 @@
   message.keep_alive(keep_alive);
 }
 
+// The parser takes a request in an encoding that it doesn't know for one
+// without a body, and the body for the next request.
+bool HasUnknownEncoding(const http_request& request) {
+  const auto fields = request.equal_range(http::field::transfer_encoding);
+  return fields.first != fields.second &&
+         (std::next(fields.first) != fields.second ||
+          !beast::iequals(fields.first->value(), "chunked"));
+}
+
 }  // namespace
 
 // Shared with the pending wait, which may complete after the exchange is gone.
@@ -302,6 +313,9 @@
       http::async_read(peer.stream, buffer, parser, std::move(done));
     });
   }
+  if (!read.error && HasUnknownEncoding(parser.get()))
+    read.error = http::error::bad_transfer_encoding;
+  http_exchange exchange(peer.stream, parser.release(), options, closing);
   if (read.error) {
     const bool too_large = read.error == http::error::body_limit;
     const bool long_header = read.error == http::error::header_limit;
@@ -311,17 +325,15 @@
         read.error != http::error::end_of_stream &&
         read.error != http::error::partial_message;
     if (malformed) {
-      http_exchange exchange(peer.stream, parser.release(), options, closing);
+      exchange.CloseAfterAnswer();
       exchange.SendWhole(
           too_large ? 413 : (long_header ? 431 : 400),
           "application/problem+json",
           R"({"type":"malformed_request","outcome":"not_run","detail":")" +
-              read.error.message() + "\"}",
-          {{"Connection", "close"}});
+              read.error.message() + "\"}");
     }
     return false;
   }
-  http_exchange exchange(peer.stream, parser.release(), options, closing);
   Answer(exchange);
   return exchange.keep_alive();
 }
--- a/packages/runtime/http_server.h
+++ b/packages/runtime/http_server.h
@@ -90,6 +90,9 @@
   void Abort();
 
   bool answered() const { return answered_; }
+
+  /// Lets the connection end with this answer, which says so.
+  void CloseAfterAnswer() { keep_alive_ = false; }
   bool keep_alive() const { return keep_alive_; }
 
  private:
