Form no group where replicas have yet to report

Cause: since a replica is free only once it has reported, those of a domain become free one by one when a list arrives in parts. A domain counted as complete by what is listed, and small groups formed from the first few reports left too few replicas for a large one.

Now groups form in a domain only while no report is missing there.

Before: A domain whose replicas report one by one gets groups of both models failed with 3 large and 5 small groups for 4 and 4. After: it passes with the other 34 cases of the package.

--- a/packages/groups/planner_forming.cc
+++ b/packages/groups/planner_forming.cc
@@ -226,12 +226,21 @@
   std::size_t one_of_each = 0;
   for (const auto& model : layout_->models)
     one_of_each += static_cast<std::size_t>(model.size);
+  // Small groups formed from the first replicas that report would leave too few
+  // for a large one.
+  std::set<base::fabric_domain_id> incomplete;
+  for (const auto& [id, replica] : replicas_) {
+    if (!HasAnswered(replica))
+      incomplete.insert(replica.record.engine.fabric_domain);
+  }
   bool formed_any = true;
   while (formed_any) {
     formed_any = false;
     std::vector<std::pair<std::size_t, base::fabric_domain_id>> order;
     for (const auto& domain : FabricDomains()) {
-      if (list_settled || CountInDomain(domain) >= one_of_each)
+      const bool all_listed =
+          list_settled || CountInDomain(domain) >= one_of_each;
+      if (all_listed && !incomplete.contains(domain))
         order.emplace_back(FreeReplicasIn(domain).size(), domain);
     }
     std::sort(order.rbegin(), order.rend());
