--- a/packages/groups/planner_queries.cc
+++ b/packages/groups/planner_queries.cc
@@ -26,12 +26,14 @@
   for (auto& [id, replica] : replicas_) {
     if (HasAnswered(replica))
       continue;
-    if (replica.query_sent_at && now - *replica.query_sent_at < kQueryTimeout)
+    if (replica.query_sent_at && now - *replica.query_sent_at < kQueryTimeout) {
       ++on_their_way;
-    else if (replica.query_due || replica.query_sent_at)
-      missing.push_back(&replica);
-    else if (replica.inconclusive &&
-             now - replica.last_queried >= kQueryIntervalInconclusive)
+      continue;
+    }
+    const bool ask_again =
+        replica.inconclusive &&
+        now - replica.last_queried >= kQueryIntervalInconclusive;
+    if (replica.query_due || replica.query_sent_at || ask_again)
       missing.push_back(&replica);
   }
   std::stable_sort(missing.begin(), missing.end(),
