--- a/packages/base/tests/fuzz/taken_apart_json_agrees_with_the_parser.cc
+++ b/packages/base/tests/fuzz/taken_apart_json_agrees_with_the_parser.cc
@@ -1,5 +1,5 @@
-// Tests with damaged documents that what the parser reads is taken apart into
-// the same parts, and that the rest is refused or taken apart without an error.
+// Splits damaged documents. Whatever the parser accepts must be split into the
+// same members and elements; nothing may throw.
 #include <boost/json.hpp>
 
 #include <catch2/catch.hpp>
--- a/packages/fleet/order.h
+++ b/packages/fleet/order.h
@@ -64,8 +64,8 @@
   /// replica rejects a delayed order after a later one.
   std::uint64_t fence = 0;
   order_body body;
-  /// When the sender last learned which group the replica is in, if any; epoch
-  /// if it knows that from the platform's list alone.
+  /// When the replica last reported its group, or accepted to leave one; epoch
+  /// if the sender knows its group from the platform's list only.
   base::time_point membership_known_at{};
 };
 
--- a/packages/gateway/entry.h
+++ b/packages/gateway/entry.h
@@ -146,8 +146,8 @@
     entry& owner_;
     session& listed_;
   };
-  /// A request's place in the queue and the slot that it is granted; given up
-  /// when the claim ends, also by an error.
+  /// Owns a request's queue entry and, once granted, its slot. The destructor
+  /// releases both, so an exception can't leak them.
   class slot_claim {
    public:
     slot_claim(entry& owner, ticket_id ticket)
--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -111,8 +111,8 @@
   }
 }
 
-// Answers a request whose handling failed with an error that nothing on its
-// path expects. What its attempts hold is given up by their owners.
+// Answers a request whose handling threw an unexpected exception. Slots and
+// connections are released by the destructors of their owners.
 void session::EndAfterError(std::string_view why) {
   telemetry::LogChange("gateway", "request_failed",
                        {{"request", head_.id.str()},
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -159,7 +159,8 @@
     fleet::replica record;
     /// Last report in this term; epoch if none.
     base::time_point reported_at{};
-    /// Last report or accepted order to leave; epoch if neither tells.
+    /// Time of the last report or accepted leave order in this term; epoch if
+    /// there was none.
     base::time_point membership_known_at{};
     std::optional<base::time_point> query_sent_at;
     int failed_queries = 0;     ///< Consecutive failed queries.
--- a/packages/runtime/http_client.cc
+++ b/packages/runtime/http_client.cc
@@ -73,7 +73,7 @@
   return head;
 }
 
-// @throws transport_error, as for any other address where nobody listens.
+// @throws transport_error (kRefused) if @p address is not IP:port.
 tcp::endpoint EndpointOf(const std::string& address) {
   try {
     return ParseAddress(address);
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -35,8 +35,8 @@
   http_connection(const http_connection&) = delete;
   http_connection& operator=(const http_connection&) = delete;
 
-  /// @throws transport_error (kConnect, or kRefused where nobody listens: also
-  ///         for a text that is no address).
+  /// @throws transport_error: kRefused if the connection is refused or
+  ///         @p address is not IP:port, kConnect for other failures.
   void Connect(const std::string& address, base::duration timeout);
 
   /// Changes how long the other end may be silent on the wire, probes included,
--- a/packages/runtime/tests/correctness/silent_connections_are_given_up_in_time.cc
+++ b/packages/runtime/tests/correctness/silent_connections_are_given_up_in_time.cc
@@ -1,5 +1,5 @@
-// Guards against keepalive settings that add up to more than the bound they are
-// derived from: watches that had fallen silent were given up too late.
+// Guards against keepalive settings whose idle time and probes exceed the
+// configured timeout: dead watch connections were closed too late.
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
