Log why a request is not sent again, and on what figures

A caller got no whole answer, and attempt_ended says how its last attempt ended, but not which check kept the request from another replica: attempts, the service's retries, the kind of route, the time left.

not_retried says it, with attempts and retries as they stood. Nothing else changes; the budget's decision is split from its figures, which both use.

Test: a_request_that_is_not_retried_logs_why.cc, three reasons; the line doesn't exist before. Ruled out: adding the figures to attempt_ended, which most requests write without a retry being asked for.

--- a/packages/gateway/retry_budget.cc
+++ b/packages/gateway/retry_budget.cc
@@ -27,16 +27,23 @@
   service_history.requests.push_back(now);
 }
 
-bool retry_budget::TryRetry(const std::string& service, base::time_point now) {
+retry_usage retry_budget::Usage(const std::string& service,
+                                base::time_point now) {
   history& service_history = services_[service];
   Expire(service_history, now);
-  const double allowed =
-      kSafetyFactor *
-      (allowance_.ratio * static_cast<double>(service_history.requests.size()) +
-       allowance_.slack / nodes_);
-  if (static_cast<double>(service_history.retries.size()) + 1 > allowed)
+  retry_usage usage;
+  usage.requests = service_history.requests.size();
+  usage.retries = service_history.retries.size();
+  usage.allowed =
+      kSafetyFactor * (allowance_.ratio * static_cast<double>(usage.requests) +
+                       allowance_.slack / nodes_);
+  return usage;
+}
+
+bool retry_budget::TryRetry(const std::string& service, base::time_point now) {
+  if (Usage(service, now).is_exhausted())
     return false;
-  service_history.retries.push_back(now);
+  services_[service].retries.push_back(now);
   return true;
 }
 
--- a/packages/gateway/retry_budget.h
+++ b/packages/gateway/retry_budget.h
@@ -23,6 +23,16 @@
   base::duration window = std::chrono::seconds(10);
 };
 
+/// What a node's share of a service's budget was decided on.
+struct retry_usage {
+  std::size_t requests = 0;  ///< Within the window.
+  std::size_t retries = 0;   ///< Within the window.
+  double allowed = 0;        ///< Retries within the window.
+  bool is_exhausted() const {
+    return static_cast<double>(retries) + 1 > allowed;
+  }
+};
+
 /// One node's share of the budgets.
 class retry_budget {
  public:
@@ -41,6 +51,9 @@
   /// Takes one retry from the budget. @return whether there was one.
   bool TryRetry(const std::string& service, base::time_point now);
 
+  /// @return this node's use of the budget of @p service.
+  retry_usage Usage(const std::string& service, base::time_point now);
+
  private:
   struct history {
     std::deque<base::time_point> requests;
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -94,6 +94,7 @@
   attempt_result RelayLarge(const runtime::http_response_head& head,
                             std::string first);
   bool MayRetry(attempt_result result);
+  void LogNotRetried(attempt_result result, std::string_view reason);
   void Finish(attempt_result result);
   void Refuse(int status,
               std::string_view reason,
--- a/packages/gateway/session_answer.cc
+++ b/packages/gateway/session_answer.cc
@@ -259,21 +259,53 @@
   const bool finished = result == attempt_result::kComplete ||
                         result == attempt_result::kCallerGone ||
                         result == attempt_result::kDeadlineExceeded;
-  if (finished || RemainingTime() <= base::duration::zero())
+  if (finished)
     return false;
-  if (result == attempt_result::kNotSent)
-    return tried_replicas_.size() <= kMaxFailedConnections;
-  if (result != attempt_result::kNotRun && !route_->retryable())
+  if (RemainingTime() <= base::duration::zero()) {
+    LogNotRetried(result, "no_time");
     return false;
+  }
+  if (result == attempt_result::kNotSent) {
+    const bool may_connect = tried_replicas_.size() <= kMaxFailedConnections;
+    if (!may_connect)
+      LogNotRetried(result, "failed_connections");
+    return may_connect;
+  }
   // A large answer that was cut off can't be resumed.
-  if (response_started_ && !route_->stream)
+  const bool is_cut_whole_answer = response_started_ && !route_->stream;
+  if (is_cut_whole_answer ||
+      (result != attempt_result::kNotRun && !route_->retryable())) {
+    LogNotRetried(result, "not_retryable");
     return false;
+  }
   // A rejection ran nothing, and refusing would break off a stream that has
   // begun. Other requests are refused once their attempts are used up.
   const bool rejected_resume =
       result == attempt_result::kNotRun && response_started_;
-  return (rejected_resume || attempts_sent_ < route_->max_attempts) &&
-         entry_.retry_budget_.TryRetry(service_, entry_.Now());
+  if (!rejected_resume && attempts_sent_ >= route_->max_attempts) {
+    LogNotRetried(result, "attempts_used_up");
+    return false;
+  }
+  if (!entry_.retry_budget_.TryRetry(service_, entry_.Now())) {
+    LogNotRetried(result, "budget_used_up");
+    return false;
+  }
+  return true;
+}
+
+void session::LogNotRetried(attempt_result result, std::string_view reason) {
+  const retry_usage usage = entry_.retry_budget_.Usage(service_, entry_.Now());
+  telemetry::LogChange("gateway", "not_retried",
+                       {{"request", head_.id.str()},
+                        {"after", NameOf(result)},
+                        {"reason", reason},
+                        {"attempts", attempts_sent_},
+                        {"max_attempts", route_->max_attempts},
+                        {"tried_replicas", tried_replicas_.size()},
+                        {"service_requests", usage.requests},
+                        {"service_retries", usage.retries},
+                        {"service_retries_allowed", usage.allowed},
+                        {"left_ms", base::WholeMilliseconds(RemainingTime())}});
 }
 
 void session::Finish(attempt_result result) {
