Take members that are only silent for lost after two seconds

Seen by callers: while replicas are silent for a second, streams are cut at nodes that did nothing wrong; around the stop of the node that leads the groups, too.

Cause: two queries of 170 ms without an answer made a member lost, so the leader closed its group, and the head reset all streams. A new leader, as after a stop, took silent members for missing and closed the group as incomplete_when_adopted.

A query now tells a replica that accepts the connection and answers nothing from one that isn't reached. The former is silent, not lost: it is asked every 200 ms, joins no new group, and is lost after 2 s. What refuses or isn't reached is lost as fast as before.

Ruled out: waiting longer for every unanswered query; a dead host would keep its group's streams standing for 2 s more.

--- a/packages/daemon/fleet_duty.h
+++ b/packages/daemon/fleet_duty.h
@@ -218,7 +218,8 @@
   void Carry(const std::string& name, const groups::plan& plan);
   runtime::http_reply ExchangeOnce(const std::string& address,
                                    runtime::http_request request,
-                                   base::duration timeout);
+                                   base::duration timeout,
+                                   bool* connected = nullptr);
   void SendOrder(const std::string& service, const fleet::order& order);
   void AskReport(const std::string& service,
                  const groups::report_query& question);
--- a/packages/daemon/fleet_duty_groups.cc
+++ b/packages/daemon/fleet_duty_groups.cc
@@ -189,12 +189,17 @@
 }
 
 // One exchange on an idle connection or a fresh one, never repeated here.
+// @param connected set once a fresh connection is established.
 runtime::http_reply fleet_duty::ExchangeOnce(const std::string& address,
                                              runtime::http_request request,
-                                             base::duration timeout) {
+                                             base::duration timeout,
+                                             bool* connected) {
   auto connection = pool_.TakeIdle(address);
-  if (!connection)
+  if (!connection) {
     connection = pool_.Open(address, timeout);
+    if (connected)
+      *connected = true;
+  }
   try {
     runtime::http_reply reply =
         runtime::Exchange(*connection, request, timeout);
@@ -305,12 +310,14 @@
   std::optional<fleet::engine_state> state;
   bool refused = false;
   bool answered = true;
+  bool connected = false;
+  bool silent = false;
   const auto asked_at = clock_.Now();
   reports_asked_.Add();
   try {
     const auto reply = ExchangeOnce(
         question.address, wire_.MakeReportRequest(id, question.address),
-        kReportBound);
+        kReportBound, &connected);
     of.reach.OnReached(question.address, clock_.Now());
     state = wire_.ReadReport(reply.head.status, reply.body);
     LearnLeavingFrom(id, reply.head);
@@ -318,6 +325,8 @@
               fleet::order_result::kOtherInstance;
   } catch (const runtime::transport_error& error) {
     refused = error.failure() == runtime::transport_failure::kRefused;
+    silent =
+        connected && error.failure() == runtime::transport_failure::kTimeout;
     answered = false;
   } catch (const std::exception& error) {
     LogExchangeFailed(id, error);
@@ -331,9 +340,13 @@
                           {"cut_off", of.reach.cut_off()}});
     of.planner.OnInconclusive(id);
   } else {
-    telemetry::LogChange("groups", "no_report",
-                         {{"instance", id.str()}, {"refused", refused}});
-    of.planner.OnUnreachable(id, refused, clock_.Now());
+    telemetry::LogChange(
+        "groups", "no_report",
+        {{"instance", id.str()}, {"refused", refused}, {"silent", silent}});
+    if (silent)
+      of.planner.OnSilent(id, clock_.Now());
+    else
+      of.planner.OnUnreachable(id, refused, clock_.Now());
   }
   StepSoon();
 }
--- a/packages/groups/planner.cc
+++ b/packages/groups/planner.cc
@@ -97,6 +97,7 @@
   replica.membership_known_at = {};
   replica.lost = false;
   replica.lost_since.reset();
+  replica.silent_since.reset();
   replica.failed_queries = 0;
 }
 
@@ -139,6 +140,7 @@
   replica->lost = false;
   replica->connection_refused = false;
   replica->lost_since.reset();
+  replica->silent_since.reset();
   replica->reported_at = now;
   replica->membership_known_at = now;
   const base::fabric_domain_id domain = replica->record.engine.fabric_domain;
@@ -169,10 +171,26 @@
     return;
   }
   replica->lost = true;
+  replica->silent_since.reset();
   if (!replica->lost_since)
     replica->lost_since = now;
 }
 
+void planner::OnSilent(const base::instance_id& id, base::time_point now) {
+  replica_state* replica = Find(id);
+  if (!replica)
+    return;
+  if (!replica->silent_since)
+    replica->silent_since = replica->query_sent_at.value_or(now);
+  replica->query_sent_at.reset();
+  replica->inconclusive = false;
+  replica->failed_queries = 0;
+  if (now - *replica->silent_since < kSilenceUntilLost || replica->lost)
+    return;
+  replica->lost = true;
+  replica->lost_since = now;
+}
+
 void planner::OnInconclusive(const base::instance_id& id) {
   replica_state* replica = Find(id);
   if (!replica)
@@ -397,6 +415,7 @@
                   }) ||
       std::any_of(replicas_.begin(), replicas_.end(), [](const auto& entry) {
         return entry.second.query_due || entry.second.inconclusive ||
+               (entry.second.silent_since && !entry.second.lost) ||
                !entry.second.loading_model.empty();
       });
   return now + (busy ? kBusyTickInterval : kIdleTickInterval);
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -113,6 +113,10 @@
                      bool refused,
                      base::time_point now);
 
+  /// A query whose connection was established and brought no answer: the
+  /// replica is silent, which a sound one may be for a moment.
+  void OnSilent(const base::instance_id& id, base::time_point now);
+
   /// A query without any answer, at a node that reaches no endpoint: it says
   /// nothing of the replica.
   void OnInconclusive(const base::instance_id& id);
@@ -167,6 +171,8 @@
     bool lost = false;          ///< Believed to be unreachable.
     bool inconclusive = false;  ///< Its last query said nothing.
     std::optional<base::time_point> lost_since;
+    /// When the first of its unanswered queries in a row was sent.
+    std::optional<base::time_point> silent_since;
     bool order_pending = false;
     base::time_point next_order_at{};
     std::string loading_model;  ///< Model being loaded from the weight store.
--- a/packages/groups/planner_bounds.h
+++ b/packages/groups/planner_bounds.h
@@ -59,6 +59,10 @@
 // Consecutive failed queries that mark a replica as lost. A single one may be
 // due to a lost packet.
 inline constexpr int kFailedQueriesUntilLost = 2;
+// A replica that accepts connections and answers nothing is lost after this: a
+// sound one may be silent for a second or so.
+inline constexpr milliseconds kSilenceUntilLost{2000};
+inline constexpr milliseconds kQueryIntervalSilent{200};
 // Before the first request a load takes this fraction of its time.
 inline constexpr int kEarlyLoadDivisor = 10;
 // Before the first request, this many times the number of loads that run at
--- a/packages/groups/planner_forming.cc
+++ b/packages/groups/planner_forming.cc
@@ -16,7 +16,7 @@
   for (const auto& [id, replica] : replicas_) {
     const bool has_reported = replica.reported_at != base::time_point();
     if (replica.record.engine.fabric_domain == domain && has_reported &&
-        IsUsable(replica) && !group_of_.contains(id))
+        !replica.silent_since && IsUsable(replica) && !group_of_.contains(id))
       free.push_back(&replica);
   }
   return free;
--- a/packages/groups/planner_queries.cc
+++ b/packages/groups/planner_queries.cc
@@ -30,9 +30,10 @@
       ++on_their_way;
       continue;
     }
+    const base::duration since_query = now - replica.last_queried;
     const bool ask_again =
-        replica.inconclusive &&
-        now - replica.last_queried >= kQueryIntervalInconclusive;
+        (replica.inconclusive && since_query >= kQueryIntervalInconclusive) ||
+        (replica.silent_since && since_query >= kQueryIntervalSilent);
     if (replica.query_due || replica.query_sent_at || ask_again)
       missing.push_back(&replica);
   }
@@ -62,6 +63,8 @@
       QueryReport(replica, out, now);
     else if (replica.inconclusive)
       query_every(replica, kQueryIntervalInconclusive);
+    else if (replica.silent_since && !replica.lost)
+      query_every(replica, kQueryIntervalSilent);
     else if (replica.lost && !replica.unlisted)
       query_every(replica, kQueryIntervalLost);
   }
--- a/packages/groups/tests/fake_replicas.h
+++ b/packages/groups/tests/fake_replicas.h
@@ -40,6 +40,7 @@
     fleet::replica record;
     bool dead = false;
     bool unreachable = false;  ///< Running, but cut off from the leader.
+    bool silent = false;       ///< Accepts connections and answers nothing.
     /// Its address belongs to another service now.
     bool address_reused = false;
     std::uint64_t fence = 0;
@@ -214,7 +215,7 @@
       leader.OnOrderResult(order, fleet::order_result::kOtherInstance, now_);
       return;
     }
-    if (to.dead || to.unreachable) {
+    if (to.dead || to.unreachable || to.silent) {
       leader.OnOrderResult(order, fleet::order_result::kNoAnswer, now_);
       return;
     }
@@ -241,6 +242,8 @@
       leader.OnUnreachable(id, true, now_);
     else if (queried.dead && listener != hosts_.end())
       leader.OnReport(id, listener->second.record.engine, now_);
+    else if (queried.silent && !queried.dead)
+      leader.OnSilent(id, now_);
     else if (queried.dead || queried.unreachable)
       leader.OnUnreachable(id, queried.dead && refuse_when_dead, now_);
     else
--- a/stand_ins/native/native_replica.cc
+++ b/stand_ins/native/native_replica.cc
@@ -148,6 +148,7 @@
 void native_replica::Handle(gate_state& gate,
                             runtime::http_exchange& exchange) {
   Pass(gate);
+  WaitWhileFrozen();
   const auto& request = exchange.request();
   const auto expected = Field(request, "X-Flamingoshunt-Expect-Instance");
   if (!expected.empty() && expected != options_.id) {
@@ -163,6 +164,11 @@
     Serve(gate, exchange);
 }
 
+void native_replica::WaitWhileFrozen() const {
+  while (frozen && !crashed_)
+    boost::this_fiber::sleep_for(options_.event_interval);
+}
+
 runtime::http_fields native_replica::WithLeaving(
     runtime::http_fields fields) const {
   if (says_leaving)
@@ -280,6 +286,7 @@
        event <= kEventsPerStream; ++event) {
     while (stalled && !crashed_)
       boost::this_fiber::sleep_for(options_.event_interval);
+    WaitWhileFrozen();
     Pass(gate);
     if (crashed_ ||
         !exchange.Write("id: " + std::to_string(event) + "\ndata: token\n\n")) {
--- a/stand_ins/native/native_replica.h
+++ b/stand_ins/native/native_replica.h
@@ -60,6 +60,9 @@
 
   const std::string& id() const { return options_.id; }
   bool open() const { return state_ == "open"; }
+  const std::string& model() const { return model_; }
+  /// @return whether it is in a group.
+  bool is_member() const { return !state_.empty(); }
   std::string address(int gate = 0) const {
     return gates_[static_cast<std::size_t>(gate)]->address;
   }
@@ -68,6 +71,7 @@
   const std::map<std::string, int>& runs() const { return runs_; }
   bool says_leaving = false;  ///< All answers say that it is leaving.
   bool stalled = false;       ///< Streams produce no events.
+  bool frozen = false;        ///< Accepts connections and does nothing else.
   bool shedding = false;      ///< Rejects requests as not executed.
   /// Rejects so many requests more, each with Retry-After.
   int pauses_to_name = 0;
@@ -92,6 +96,7 @@
   void Open(gate_state& gate, const std::string& address);
   void Handle(gate_state& gate, runtime::http_exchange& exchange);
   void Pass(const gate_state& gate) const;
+  void WaitWhileFrozen() const;
   runtime::http_fields WithLeaving(runtime::http_fields fields) const;
   void HandleOrder(runtime::http_exchange& exchange);
   int Execute(const boost::json::object& order);
