--- a/stand_ins/native/native_replica.cc
+++ b/stand_ins/native/native_replica.cc
@@ -24,8 +24,8 @@
 
 native_replica::native_replica(boost::asio::io_context& loop,
                                native_replica_options options,
-                               native_store& store)
-    : options_(std::move(options)), store_(store), loop_(loop) {
+                               entry_registry& entries)
+    : options_(std::move(options)), entries_(entries), loop_(loop) {
   for (int i = 0; i < options_.gates; ++i) {
     gates_.push_back(std::make_unique<gate_state>());
     Open(*gates_.back(), "127.0.0.1:0");
@@ -92,7 +92,7 @@
 
 json::object native_replica::EncodeState() const {
   json::object state{
-      {"stage", "both"}, {"seq", order_count_}, {"born", 1790000000000}};
+      {"stage", "both"}, {"seq", order_count_}, {"born", options_.started_ms}};
   if (options_.domain.empty())
     return state;
   state["domain"] = options_.domain;
@@ -111,6 +111,13 @@
   return state;
 }
 
+json::object native_replica::EncodeRuns() const {
+  json::object runs;
+  for (const auto& [id, count] : runs_)
+    runs[id] = count;
+  return runs;
+}
+
 void native_replica::Publish() {
   if (crashed_)
     return;
@@ -121,7 +128,7 @@
   entry["version"] = "v1";
   entry["slots"] = options_.slots;
   entry["state"] = draining_ ? "draining" : "ready";
-  store_.Put(kKind, options_.id, std::move(entry));
+  entries_.Put(kKind, options_.id, std::move(entry));
 }
 
 void native_replica::Crash() {
@@ -142,7 +149,7 @@
 }
 
 void native_replica::Unregister() {
-  store_.Delete(kKind, options_.id);
+  entries_.Delete(kKind, options_.id);
 }
 
 void native_replica::Handle(gate_state& gate,
@@ -160,6 +167,8 @@
                        WithLeaving({}));
   else if (request.target() == "/-/order")
     HandleOrder(exchange);
+  else if (request.target() == "/-/runs")
+    exchange.SendWhole(200, "application/json", json::serialize(EncodeRuns()));
   else
     Serve(gate, exchange);
 }
--- a/stand_ins/native/native_replica.h
+++ b/stand_ins/native/native_replica.h
@@ -4,13 +4,16 @@
 #ifndef FLAMINGOSHUNT_STAND_INS_NATIVE_NATIVE_REPLICA_H_
 #define FLAMINGOSHUNT_STAND_INS_NATIVE_NATIVE_REPLICA_H_
 
+#include <boost/json.hpp>
+
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "runtime/http_server.h"
-#include "stand_ins/native/native_store.h"
+#include "stand_ins/native/entry_registry.h"
 
 namespace flamingoshunt::stand_ins {
 
@@ -26,6 +29,7 @@
   /// Durations of the engine, short to keep tests fast.
   base::duration join_time = std::chrono::milliseconds(30);
   base::duration event_interval = std::chrono::milliseconds(10);
+  std::uint64_t started_ms = 1790000000000;  ///< Unix time, in ms.
 };
 
 /// What callers of an address that is cut off see.
@@ -38,7 +42,7 @@
  public:
   native_replica(boost::asio::io_context& loop,
                  native_replica_options options,
-                 native_store& store);
+                 entry_registry& entries);
 
   void Start();
 
@@ -103,10 +107,11 @@
   void Serve(const gate_state& gate, runtime::http_exchange& exchange);
   void StreamEvents(const gate_state& gate, runtime::http_exchange& exchange);
   boost::json::object EncodeState() const;
+  boost::json::object EncodeRuns() const;
   void Publish();
 
   native_replica_options options_;
-  native_store& store_;
+  entry_registry& entries_;
   boost::asio::io_context& loop_;
   std::vector<std::unique_ptr<gate_state>> gates_;
   /// Of gates that were cut off; their connections may still be open.
--- a/stand_ins/native/native_store.cc
+++ b/stand_ins/native/native_store.cc
@@ -119,6 +119,9 @@
   const auto method = exchange.request().method_string();
   if (method == "POST" || method == "PUT") {
     Write(exchange, kind, name);
+  } else if (method == "DELETE") {
+    Delete(kind, name);
+    SendJson(exchange, 200, json::object());
   } else if (!name.empty()) {
     const auto it = kinds_[kind].find(name);
     if (it == kinds_[kind].end())
--- a/stand_ins/native/native_store.h
+++ b/stand_ins/native/native_store.h
@@ -13,10 +13,11 @@
 
 #include "runtime/fiber_wait.h"
 #include "runtime/http_server.h"
+#include "stand_ins/native/entry_registry.h"
 
 namespace flamingoshunt::stand_ins {
 
-class native_store {
+class native_store final : public entry_registry {
  public:
   native_store(boost::asio::io_context& loop, const std::string& address);
 
@@ -35,8 +36,8 @@
   /// Writes unconditionally, as an operator or a replica does.
   void Put(const std::string& kind,
            const std::string& name,
-           boost::json::value spec);
-  void Delete(const std::string& kind, const std::string& name);
+           boost::json::value spec) override;
+  void Delete(const std::string& kind, const std::string& name) override;
 
   /// Cuts off the watches that are waiting for events.
   void CutWatches() { ++watch_cuts_; }
