--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -7,6 +7,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -180,11 +181,13 @@
 
   /// @return a target whose address refuses connections.
   target MakeUnreachable(const std::string& name) {
-    boost::asio::basic_socket_acceptor<runtime::tcp> probe(
-        loop_, {boost::asio::ip::address_v4::loopback(), 0});
+    // Bound and not listening, so that no other server gets the port.
+    auto& reserved = reserved_.emplace_back(loop_);
+    reserved.open(runtime::tcp::v4());
+    reserved.bind({boost::asio::ip::address_v4::loopback(), 0});
     target replica;
     replica.instance = base::instance_id(name);
-    replica.address = runtime::FormatAddress(probe.local_endpoint());
+    replica.address = runtime::FormatAddress(reserved.local_endpoint());
     replica.slots = 8;
     return replica;
   }
@@ -299,6 +302,7 @@
   std::unique_ptr<runtime::http_server> callers_;
   std::unique_ptr<runtime::http_server> passed_;
   std::vector<std::unique_ptr<runtime::http_server>> replicas_;
+  std::list<boost::asio::basic_socket_acceptor<runtime::tcp>> reserved_;
   int calls_ = 0;
 };
 
