--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -84,18 +84,22 @@
                           {"name", "w1"}, {"api_keys", json::array{kKey}}}}}};
 }
 
-// @return an address on loopback that was free at the time of the call, with a
-//         port that the system gives to no outgoing connection by itself: a
-//         node listens there again after each restart. Each run has its own
-//         block.
-template <class Protocol>
-std::string FreeAddress(boost::asio::io_context& loop) {
+// @return a port that the system gives to no outgoing connection by itself,
+//         since nodes listen there again after each restart. Each run has a
+//         block of its own.
+std::uint16_t NextPort() {
   constexpr int kFirstPort = 10'000;
   constexpr int kBlockPorts = 300;
   constexpr int kBlocks = 70;
   static int next = kFirstPort + getpid() % kBlocks * kBlockPorts;
+  return static_cast<std::uint16_t>(next++);
+}
+
+// @return an address on loopback that was free at the time of the call.
+template <class Protocol>
+std::string FreeAddress(boost::asio::io_context& loop) {
   while (true) {
-    const auto port = static_cast<std::uint16_t>(next++);
+    const std::uint16_t port = NextPort();
     typename Protocol::socket probe(loop, Protocol::v4());
     boost::system::error_code error;
     probe.bind({boost::asio::ip::address_v4::loopback(), port}, error);
