Count no stall as a crash of the request that ran

Seen by callers: streams of the same body are cut, and the body is refused as crashes_replicas at all nodes for five minutes, after three replicas that ran it were only silent.

Cause: an attempt that ended as stalled was counted by the crash guard like one whose connection broke. A crash closes the connection, which counts as before; prompt parts never counted stalls.

Ruled out: counting a stall once the replica is lost; a lost member of a group says nothing of one of its requests.

--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -411,10 +411,9 @@
   current_peer_.reset();
   result = SettleAttempt(result, ran_before);
   const std::int64_t unacknowledged = EndConnection();
-  if (granted && may_have_run_ &&
-      (result == attempt_result::kBroken || result == attempt_result::kStalled))
-    ReportCrash(*granted,
-                closed_by_replica && result == attempt_result::kBroken);
+  // A silent replica may go on, so a stall is no crash.
+  if (granted && may_have_run_ && result == attempt_result::kBroken)
+    ReportCrash(*granted, closed_by_replica);
   // A head that refuses requests may have lost a member.
   if (granted && result == attempt_result::kNotRun && route_->stream)
     entry_.ReportRefusal(granted->replica.instance);
