Count a silence from its first answerless query, in a row

A leader that was paused for 2 s with one query out took its members for lost at that query's end, and time in which it reached nobody counted as silence of its members: their groups were closed.

Cause: the silence began when the query was sent, and an inconclusive query didn't end it. It begins now when the first silent query ends, takes four in a row, and an inconclusive one ends it. Silent replicas are asked last in an inventory, so that they don't hold the places of others; one whose address has a new holder keeps no timer busy.

--- a/packages/groups/planner.cc
+++ b/packages/groups/planner.cc
@@ -97,7 +97,7 @@
   replica.membership_known_at = {};
   replica.lost = false;
   replica.lost_since.reset();
-  replica.silent_since.reset();
+  ClearSilence(replica);
   replica.failed_queries = 0;
 }
 
@@ -140,7 +140,7 @@
   replica->lost = false;
   replica->connection_refused = false;
   replica->lost_since.reset();
-  replica->silent_since.reset();
+  ClearSilence(*replica);
   replica->reported_at = now;
   replica->membership_known_at = now;
   const base::fabric_domain_id domain = replica->record.engine.fabric_domain;
@@ -171,21 +171,34 @@
     return;
   }
   replica->lost = true;
-  replica->silent_since.reset();
+  ClearSilence(*replica);
   if (!replica->lost_since)
     replica->lost_since = now;
 }
 
+void planner::ClearSilence(replica_state& replica) {
+  replica.silent_since.reset();
+  replica.silent_queries = 0;
+}
+
+// @return whether it is silent and asked until it answers or is lost.
+bool planner::IsAwaited(const replica_state& replica) {
+  return replica.silent_since && !replica.lost && !replica.displaced;
+}
+
 void planner::OnSilent(const base::instance_id& id, base::time_point now) {
   replica_state* replica = Find(id);
   if (!replica)
     return;
+  // Later than the query was sent: this node may have been paused since.
   if (!replica->silent_since)
-    replica->silent_since = replica->query_sent_at.value_or(now);
+    replica->silent_since = now;
+  ++replica->silent_queries;
   replica->query_sent_at.reset();
   replica->inconclusive = false;
   replica->failed_queries = 0;
-  if (now - *replica->silent_since < kSilenceUntilLost || replica->lost)
+  if (now - *replica->silent_since < kSilenceUntilLost ||
+      replica->silent_queries < kSilentQueriesUntilLost || replica->lost)
     return;
   replica->lost = true;
   replica->lost_since = now;
@@ -197,6 +210,7 @@
     return;
   replica->query_sent_at.reset();
   replica->inconclusive = true;
+  ClearSilence(*replica);
 }
 
 void planner::OnStallSuspected(const base::instance_id& head,
@@ -415,8 +429,7 @@
                   }) ||
       std::any_of(replicas_.begin(), replicas_.end(), [](const auto& entry) {
         return entry.second.query_due || entry.second.inconclusive ||
-               (entry.second.silent_since && !entry.second.lost) ||
-               !entry.second.loading_model.empty();
+               IsAwaited(entry.second) || !entry.second.loading_model.empty();
       });
   return now + (busy ? kBusyTickInterval : kIdleTickInterval);
 }
--- a/packages/groups/planner.h
+++ b/packages/groups/planner.h
@@ -171,8 +171,9 @@
     bool lost = false;          ///< Believed to be unreachable.
     bool inconclusive = false;  ///< Its last query said nothing.
     std::optional<base::time_point> lost_since;
-    /// When the first of its unanswered queries in a row was sent.
+    /// When the first of its silent queries in a row ended.
     std::optional<base::time_point> silent_since;
+    int silent_queries = 0;  ///< Consecutive ones.
     bool order_pending = false;
     base::time_point next_order_at{};
     std::string loading_model;  ///< Model being loaded from the weight store.
@@ -202,6 +203,8 @@
   bool HasModel(const replica_state& replica, const std::string& model) const;
   bool IsMemberOf(const replica_state& replica, const group& group) const;
   static void ResetOrderState(replica_state& replica);
+  static void ClearSilence(replica_state& replica);
+  static bool IsAwaited(const replica_state& replica);
   base::duration ExpectedJoinTime(const replica_state& replica,
                                   const std::string& model) const;
 
--- a/packages/groups/planner_adoption.cc
+++ b/packages/groups/planner_adoption.cc
@@ -29,7 +29,7 @@
     // An earlier term may have lost it for a trouble of this node.
     replica.lost = false;
     replica.lost_since.reset();
-    replica.silent_since.reset();
+    ClearSilence(replica);
     replica.failed_queries = 0;
   }
   term_began_at_ = now;
--- a/packages/groups/planner_bounds.h
+++ b/packages/groups/planner_bounds.h
@@ -62,6 +62,8 @@
 // A replica that accepts connections and answers nothing is lost after this: a
 // sound one may be silent for a second or so.
 inline constexpr milliseconds kSilenceUntilLost{2000};
+// And not before so many queries in a row: this node may have been paused.
+inline constexpr int kSilentQueriesUntilLost = 4;
 inline constexpr milliseconds kQueryIntervalSilent{200};
 // Before the first request a load takes this fraction of its time.
 inline constexpr int kEarlyLoadDivisor = 10;
--- a/packages/groups/planner_queries.cc
+++ b/packages/groups/planner_queries.cc
@@ -1,5 +1,6 @@
 // Decides which replicas are queried for a report, and when.
 #include <algorithm>
+#include <utility>
 
 #include "groups/planner.h"
 #include "groups/planner_bounds.h"
@@ -39,8 +40,12 @@
   }
   std::stable_sort(missing.begin(), missing.end(),
                    [](const replica_state* left, const replica_state* right) {
-                     return left->record.engine.fabric_domain <
-                            right->record.engine.fabric_domain;
+                     // Silent ones would hold the places of others.
+                     const auto rank = [](const replica_state* replica) {
+                       return std::pair(replica->silent_since.has_value(),
+                                        replica->record.engine.fabric_domain);
+                     };
+                     return rank(left) < rank(right);
                    });
   for (replica_state* replica : missing) {
     if (on_their_way++ >= kInventoryQueries)
@@ -63,7 +68,7 @@
       QueryReport(replica, out, now);
     else if (replica.inconclusive)
       query_every(replica, kQueryIntervalInconclusive);
-    else if (replica.silent_since && !replica.lost)
+    else if (IsAwaited(replica))
       query_every(replica, kQueryIntervalSilent);
     else if (replica.lost && !replica.unlisted)
       query_every(replica, kQueryIntervalLost);
--- a/packages/groups/tests/correctness/silent_members_keep_their_groups.cc
+++ b/packages/groups/tests/correctness/silent_members_keep_their_groups.cc
@@ -95,6 +95,42 @@
   CHECK(replicas.CompleteGroups("large") == 1);
 }
 
+// Guards against replicas that are lost for a trouble of the leader itself.
+TEST_CASE("One unanswered query of a leader that was paused loses no group") {
+  fake_replicas replicas(2, 11);
+  planner leader = MakeServingPlanner(replicas);
+  const auto before = leader.announcement();
+  auto now = replicas.now();
+  leader.OnStallSuspected(before.groups.front().head, now);
+  const plan asked = leader.Tick(now);
+  REQUIRE(asked.report_queries.size() == 6);
+  now += milliseconds(2100);
+  for (const report_query& query : asked.report_queries)
+    leader.OnSilent(query.to, now);
+  leader.Tick(now);
+  CHECK(leader.announcement() == before);
+}
+
+TEST_CASE("Time in which a leader reaches nobody is no silence of a member") {
+  fake_replicas replicas(2, 11);
+  planner leader = MakeServingPlanner(replicas);
+  const auto before = leader.announcement();
+  const auto head = before.groups.front().head;
+  auto now = replicas.now();
+  const auto be_silent = [&] {
+    for (int query = 0; query < 4; ++query) {
+      now += milliseconds(200);
+      leader.OnSilent(head, now);
+    }
+  };
+  be_silent();
+  now += milliseconds(2400);
+  leader.OnInconclusive(head);
+  be_silent();
+  leader.Tick(now);
+  CHECK(leader.announcement() == before);
+}
+
 TEST_CASE("Silent spares join no group") {
   fake_replicas replicas(1, 11);
   planner leader = MakeServingPlanner(replicas);
