Replace a silent second attempt, and join no two runs

What had been read of an attempt that is given up is dropped. - While the first was still connecting, both could be sent although the route allowed one more. It looks again before it sends. - Retries were charged for attempts that were never sent. They are given back, and four failed connections are enough. - attempt_ended named the second attempt's peer.

The check before sending needs a slow connect and has no test.

--- a/packages/gateway/attempt_bounds.h
+++ b/packages/gateway/attempt_bounds.h
@@ -4,6 +4,7 @@
 #define FLAMINGOSHUNT_GATEWAY_ATTEMPT_BOUNDS_H_
 
 #include <chrono>
+#include <cstddef>
 
 namespace flamingoshunt::gateway {
 
@@ -12,6 +13,12 @@
 /// Another peer may take the request if this one doesn't accept it soon.
 inline constexpr std::chrono::milliseconds kPeerConnectTimeout{300};
 
+/// A second attempt of an idempotent request starts after this multiple of its
+/// latency target.
+inline constexpr int kTargetsBeforeStandby = 2;
+/// Replicas that may be unreachable before a request fails.
+inline constexpr std::size_t kMaxFailedConnections = 4;
+
 inline constexpr int kFirstServerErrorStatus = 500;
 
 constexpr bool IsSuccessStatus(int status) {
--- a/packages/gateway/retry_budget.cc
+++ b/packages/gateway/retry_budget.cc
@@ -47,4 +47,10 @@
   return true;
 }
 
+void retry_budget::Refund(const std::string& service) {
+  auto& retries = services_[service].retries;
+  if (!retries.empty())
+    retries.pop_back();
+}
+
 }  // namespace flamingoshunt::gateway
--- a/packages/gateway/retry_budget.h
+++ b/packages/gateway/retry_budget.h
@@ -51,6 +51,9 @@
   /// Takes one retry from the budget. @return whether there was one.
   bool TryRetry(const std::string& service, base::time_point now);
 
+  /// Gives back a retry that was taken and not sent.
+  void Refund(const std::string& service);
+
   /// @return this node's use of the budget of @p service.
   retry_usage Usage(const std::string& service, base::time_point now);
 
--- a/packages/gateway/session.cc
+++ b/packages/gateway/session.cc
@@ -14,9 +14,6 @@
 
 using std::chrono::milliseconds;
 
-// A second attempt of an idempotent request starts after this multiple of its
-// latency target.
-constexpr int kTargetsBeforeStandby = 2;
 constexpr milliseconds kNoConfigurationRetryAfter{1000};
 // Callers disconnect from a stream without an event for the longest of these:
 // a minimum, and multiples of the latency target and of the event gap target.
@@ -91,8 +88,8 @@
 }
 
 session::~session() {
-  if (standby_)
-    standby_->Cancel();
+  for (const auto& standby : standbys_)
+    standby->Cancel();
 }
 
 void session::Run() {
@@ -105,8 +102,9 @@
     signal_.Notify();
     if (upstream_)
       upstream_->Close();
-    if (standby_)
-      standby_->Cancel();
+    for (const auto& standby : standbys_)
+      standby->Cancel();
+    standby_changed_.Notify();
   });
   try {
     LogLateRead();
@@ -263,7 +261,7 @@
 void session::Serve() {
   while (true) {
     std::optional<attempt_result> result;
-    if (standby_) {
+    if (!standbys_.empty()) {
       result = TakeStandby();
     } else if (const auto peer = ChoosePeer()) {
       result = PassOn(*peer);
@@ -278,8 +276,10 @@
     const bool final = *result == attempt_result::kComplete ||
                        *result == attempt_result::kCallerGone ||
                        *result == attempt_result::kDeadlineExceeded;
-    const bool continues = standby_ && !final;
-    if (!continues && !MayRetry(*result)) {
+    const bool standby_continues = !standbys_.empty() && !final;
+    if (standby_continues)
+      continue;
+    if (!MayRetry(*result)) {
       Finish(*result);
       return;
     }
@@ -408,7 +408,7 @@
                  : attempt_result::kBroken;
   }
   current_replica_.reset();
-  current_peer_.reset();
+  const auto peer = std::exchange(current_peer_, std::nullopt);
   result = SettleAttempt(result, ran_before);
   const std::int64_t unacknowledged = EndConnection();
   // A silent replica may go on, so a stall is no crash.
@@ -418,11 +418,12 @@
   if (granted && result == attempt_result::kNotRun && route_->stream)
     entry_.ReportRefusal(granted->replica.instance);
   if (result != attempt_result::kComplete)
-    LogAttemptEnded(granted, result, unacknowledged, detail);
+    LogAttemptEnded(granted, peer, result, unacknowledged, detail);
   return result;
 }
 
 void session::LogAttemptEnded(const grant* granted,
+                              const std::optional<base::node_id>& peer,
                               attempt_result result,
                               std::int64_t unacknowledged,
                               std::string_view detail) {
@@ -430,7 +431,8 @@
       "gateway", "attempt_ended",
       {{"request", head_.id.str()},
        {granted ? "instance" : "peer",
-        granted ? granted->replica.instance.str() : tried_peers_.back().str()},
+        granted ? granted->replica.instance.str()
+                : peer.value_or(base::node_id()).str()},
        {"how", NameOf(result)},
        {"silent_ms", base::WholeMilliseconds(entry_.Now() - last_progress_at_)},
        {"left_ms", base::WholeMilliseconds(RemainingTime())},
@@ -485,7 +487,7 @@
           address, std::min<base::duration>(kConnectTimeout, RemainingTime()));
       entry_.RecordConnection(service_, granted.replica, true);
     } catch (const runtime::transport_error&) {
-      if (!caller_gone_) {
+      if (!caller_gone_ && !replica_stalled_) {
         ++failed_connections_;
         entry_.RecordConnection(service_, granted.replica, false);
         entry_.ReportStall(service_, granted.replica.instance,
@@ -499,6 +501,9 @@
   if (caller_gone_ || RemainingTime() <= base::duration::zero() ||
       !entry_.dispatcher_.AcceptsRequests(granted.replica, entry_.Now()))
     return attempt_result::kNotSent;
+  // A second attempt may have taken the last one that the route allows.
+  if (!standbys_.empty() && attempts_sent_ >= route_->max_attempts)
+    return attempt_result::kNotSent;
   auto message = entry_.protocol_.WriteAttempt(
       request_, MakeAttemptHead(granted.replica.instance));
   ++attempts_sent_;
@@ -554,6 +559,10 @@
 
 base::time_point session::CheckStalls() {
   const auto now = entry_.Now();
+  if (awaits_standby_) {
+    CheckStandby(now);
+    return now;
+  }
   if (!upstream_ || replica_stalled_)
     return base::time_point::max();
   if (current_peer_)
@@ -571,7 +580,11 @@
     return std::min(last_progress_at_ + timeout, deadline_);
   if (route_->stream)
     entry_.RecordSilence(service_);
-  if (standby_ || !CanFailOver())
+  if (!standbys_.empty()) {
+    CheckStandby(now);
+    return now;
+  }
+  if (!CanFailOver())
     return deadline_;
   // Peers may see the replica active; that doesn't help this node.
   if (!route_->stream || entry_.IsCutOff(service_)) {
@@ -609,7 +622,7 @@
 
 void session::OnPeerSuspicion(const base::instance_id& replica) {
   if (!current_replica_ || *current_replica_ != replica || !upstream_ ||
-      !route_->stream || replica_stalled_ || standby_)
+      !route_->stream || replica_stalled_ || !standbys_.empty())
     return;
   const base::duration inactivity = entry_.Now() - last_progress_at_;
   if (inactivity > StallTimeout() && FailoverHelps(inactivity) && CanFailOver())
--- a/packages/gateway/session.h
+++ b/packages/gateway/session.h
@@ -77,6 +77,7 @@
                           const std::function<attempt_result()>& steps);
   attempt_result SettleAttempt(attempt_result result, bool ran_before);
   void LogAttemptEnded(const grant* granted,
+                       const std::optional<base::node_id>& peer,
                        attempt_result result,
                        std::int64_t unacknowledged,
                        std::string_view detail);
@@ -93,10 +94,13 @@
   std::optional<standby_order> MakeStandbyOrder();
   runtime::http_request WriteStandby(const standby_order& order) const;
   void DeclineStandby(std::string_view reason);
-  void OnStandbySettled();
+  void OnStandbySettled(standby_attempt& settled);
+  void CheckStandby(base::time_point now);
+  std::shared_ptr<standby_attempt> FindReadyStandby() const;
   void KeepAttempt();
-  void DropStandby(std::string_view reason);
-  void ForgetStandby(std::string_view how);
+  void DropStandbys(std::string_view reason);
+  void ForgetStandby(const standby_attempt& ended, std::string_view how);
+  static attempt_result ResultOf(standby_state failure);
   attempt_result TakeStandby();
   attempt_result RunAttempt(const grant& granted);
   attempt_result SendAttempt(const grant& granted);
@@ -185,8 +189,13 @@
   event_splitter splitter_;
   std::optional<stored_answer>
       stored_failure_;  ///< Sent if no attempt succeeds.
-  /// Runs beside the current attempt, or goes on when that has ended.
-  std::shared_ptr<standby_attempt> standby_;
+  /// Run beside the current attempt, or go on when that has ended; the latest
+  /// is the last one.
+  std::vector<std::shared_ptr<standby_attempt>> standbys_;
+  runtime::fiber_signal standby_changed_;
+  bool awaits_standby_ = false;  ///< The first attempt has ended.
+  standby_state standby_failure_ =
+      standby_state::kBroken;  ///< Of the last one.
   base::time_point next_standby_at_{};
   std::string_view standby_declined_;  ///< Reason; in the current attempt.
 };
--- a/packages/gateway/session_answer.cc
+++ b/packages/gateway/session_answer.cc
@@ -13,8 +13,6 @@
 
 using std::chrono::milliseconds;
 
-// Replicas that may be unreachable before a request fails.
-constexpr std::size_t kMaxFailedConnections = 4;
 // Answers to earlier requests on the connection that are skipped.
 constexpr int kMaxStrayAnswers = 3;
 // An answer up to this size is forwarded only when complete, so that the
@@ -136,6 +134,11 @@
   const bool resumed = response_started_;
   // CheckStalls closes the connection at the deadline.
   while (!bytes.empty() || upstream_->ReadSome(bytes, runtime::kNoTimeout)) {
+    // Another attempt goes on after the last event; these bytes had been read
+    // before this one was given up.
+    if (replica_stalled_)
+      throw runtime::transport_error(runtime::transport_failure::kClosed,
+                                     upstream_->address() + ": given up");
     const std::string out = splitter_.Append(bytes);
     bytes.clear();
     if (out.empty()) {
@@ -302,7 +305,7 @@
 }
 
 void session::Finish(attempt_result result) {
-  DropStandby("request_ended");
+  DropStandbys("request_ended");
   if (result == attempt_result::kComplete && PromisesNotRun(status_)) {
     entry_.metrics_.refused.Add();
     LogDone("refused_by_peer", status_);
--- a/packages/gateway/session_passing.cc
+++ b/packages/gateway/session_passing.cc
@@ -135,7 +135,7 @@
   const base::duration patience =
       attempt_has_event_ ? route_->event_gap_target
                          : kTargetsBeforeDoubt * route_->first_answer_target;
-  if (!standby_ && inactivity > patience &&
+  if (standbys_.empty() && inactivity > patience &&
       !entry_.HasPeer(service_, *current_peer_) && CanFailOver())
     StartStandby();
   return deadline_;
--- a/packages/gateway/session_standby.cc
+++ b/packages/gateway/session_standby.cc
@@ -1,8 +1,10 @@
 // Starts a second attempt beside a silent one, and takes it over when it is the
 // first of the two to answer or when the other one has ended.
+#include <algorithm>
 #include <utility>
 
 #include "base/milliseconds.h"
+#include "gateway/attempt_bounds.h"
 #include "gateway/session.h"
 #include "telemetry/log.h"
 
@@ -50,6 +52,10 @@
     DeclineStandby("crashes_replicas");
     return;
   }
+  if (failed_connections_ >= static_cast<int>(kMaxFailedConnections)) {
+    DeclineStandby("failed_connections");
+    return;
+  }
   if (entry_.retry_budget_.Usage(service_, now).is_exhausted()) {
     DeclineStandby("budget_used_up");
     return;
@@ -61,7 +67,8 @@
   }
   // Owns the slot from here on.
   const auto started = std::make_shared<standby_attempt>(
-      entry_, std::move(*order), [this] { OnStandbySettled(); });
+      entry_, std::move(*order),
+      [this](standby_attempt& settled) { OnStandbySettled(settled); });
   auto message = WriteStandby(started->order());
   entry_.retry_budget_.TryRetry(service_, now);
   ++attempts_sent_;
@@ -74,7 +81,7 @@
        {"left_ms", base::WholeMilliseconds(RemainingTime())},
        {"attempts", attempts_sent_},
        {"max_attempts", route_->max_attempts}});
-  standby_ = started;
+  standbys_.push_back(started);
   started->Start(std::move(message));
 }
 
@@ -123,72 +130,117 @@
        {"left_ms", base::WholeMilliseconds(RemainingTime())}});
 }
 
-void session::OnStandbySettled() {
-  if (standby_->state() == standby_state::kReady) {
+void session::OnStandbySettled(standby_attempt& settled) {
+  standby_changed_.Notify();
+  if (settled.state() == standby_state::kReady) {
     if (upstream_)
       AbandonAttempt();
     return;
   }
-  const auto failed = standby_;
-  const standby_order& order = failed->order();
-  if (failed->state() == standby_state::kBroken && failed->was_sent() &&
-      order.granted)
-    ReportStandbyCrash(*failed);
-  if (failed->state() == standby_state::kNotRun && route_->stream)
-    entry_.ReportRefusal(order.granted->replica.instance);
-  ForgetStandby(StateName(failed->state()));
+  const auto& granted = settled.order().granted;
+  if (granted && settled.connect_failed())
+    ++failed_connections_;
+  if (granted && settled.state() == standby_state::kBroken &&
+      settled.was_sent() && !settled.timed_out())
+    ReportStandbyCrash(settled);
+  if (granted && settled.state() == standby_state::kNotRun && route_->stream)
+    entry_.ReportRefusal(granted->replica.instance);
+  standby_failure_ = settled.state();
+  ForgetStandby(settled, StateName(settled.state()));
+}
+
+// Starts another attempt if the latest one is silent, too.
+void session::CheckStandby(base::time_point now) {
+  if (standbys_.empty() || FindReadyStandby())
+    return;
+  const standby_attempt& latest = *standbys_.back();
+  const auto& granted = latest.order().granted;
+  const base::duration patience =
+      granted && route_->stream
+          ? entry_.stall_detector_.FirstEventTimeout(
+                PoolKey(), granted->expected.first_event)
+          : kTargetsBeforeStandby * route_->first_answer_target;
+  if (now - latest.started_at() <= patience || !CanFailOver())
+    return;
+  if (granted)
+    entry_.ReportStall(service_, granted->replica.instance,
+                       now - latest.started_at());
+  StartStandby();
+}
+
+std::shared_ptr<standby_attempt> session::FindReadyStandby() const {
+  const auto ready = std::find_if(
+      standbys_.begin(), standbys_.end(),
+      [](const auto& each) { return each->state() == standby_state::kReady; });
+  return ready == standbys_.end() ? nullptr : *ready;
 }
 
 // Keeps the current attempt, which made progress. One that has been given up
 // may still deliver what had been read before.
 void session::KeepAttempt() {
   if (!replica_stalled_)
-    DropStandby("answered");
+    DropStandbys("answered");
 }
 
-void session::DropStandby(std::string_view reason) {
-  if (!standby_)
-    return;
-  standby_->Cancel();
-  ForgetStandby(reason);
+void session::DropStandbys(std::string_view reason) {
+  while (!standbys_.empty()) {
+    standbys_.back()->Cancel();
+    ForgetStandby(*standbys_.back(), reason);
+  }
 }
 
-void session::ForgetStandby(std::string_view how) {
-  const auto ended = std::move(standby_);
-  standby_.reset();
-  if (!ended->was_sent())
+void session::ForgetStandby(const standby_attempt& ended,
+                            std::string_view how) {
+  const auto place =
+      std::find_if(standbys_.begin(), standbys_.end(),
+                   [&](const auto& each) { return each.get() == &ended; });
+  // Keeps it alive until its end has been recorded.
+  const auto held = *place;
+  standbys_.erase(place);
+  if (!held->was_sent()) {
     --attempts_sent_;
-  else if (ended->state() != standby_state::kNotRun)
+    entry_.retry_budget_.Refund(service_);
+  } else if (held->state() != standby_state::kNotRun) {
     standby_may_have_run_ = may_have_run_ = true;
+  }
   telemetry::LogChange(
       "gateway", "standby_ended",
       {{"request", head_.id.str()},
-       {ended->order().peer ? "peer" : "instance", PlaceOf(ended->order())},
+       {held->order().peer ? "peer" : "instance", PlaceOf(held->order())},
        {"how", how},
-       {"sent", ended->was_sent()},
+       {"sent", held->was_sent()},
        {"left_ms", base::WholeMilliseconds(RemainingTime())},
-       {"detail", ended->detail()}});
+       {"detail", held->detail()}});
 }
 
-session::attempt_result session::TakeStandby() {
-  const auto standby = standby_;
-  standby->WaitUntilSettled();
-  if (caller_gone_)
-    return attempt_result::kCallerGone;
-  switch (standby->state()) {
-    case standby_state::kReady:
-      break;
+session::attempt_result session::ResultOf(standby_state failure) {
+  switch (failure) {
     case standby_state::kNotSent:
-      return SettleAttempt(attempt_result::kNotSent, may_have_run_);
+      return attempt_result::kNotSent;
     case standby_state::kNotRun:
-      return SettleAttempt(attempt_result::kNotRun, may_have_run_);
+      return attempt_result::kNotRun;
     case standby_state::kFailed:
-      return SettleAttempt(attempt_result::kFailed, may_have_run_);
+      return attempt_result::kFailed;
     case standby_state::kRunning:
+    case standby_state::kReady:
     case standby_state::kBroken:
-      return SettleAttempt(attempt_result::kBroken, may_have_run_);
+      break;
   }
-  ForgetStandby("taken");
+  return attempt_result::kBroken;
+}
+
+session::attempt_result session::TakeStandby() {
+  awaits_standby_ = true;
+  while (!caller_gone_ && !standbys_.empty() && !FindReadyStandby())
+    standby_changed_.Wait();
+  awaits_standby_ = false;
+  if (caller_gone_)
+    return attempt_result::kCallerGone;
+  const auto standby = FindReadyStandby();
+  if (!standby)
+    return SettleAttempt(ResultOf(standby_failure_), may_have_run_);
+  ForgetStandby(*standby, "taken");
+  DropStandbys("other_answered");
   entry_.metrics_.standbys_taken.Add();
   const auto& granted = standby->order().granted;
   const auto& peer = standby->order().peer;
--- a/packages/gateway/standby_attempt.cc
+++ b/packages/gateway/standby_attempt.cc
@@ -13,8 +13,11 @@
 
 standby_attempt::standby_attempt(entry& owner,
                                  standby_order order,
-                                 std::function<void()> settled)
-    : entry_(owner), order_(std::move(order)), settled_(std::move(settled)) {
+                                 std::function<void(standby_attempt&)> settled)
+    : entry_(owner),
+      order_(std::move(order)),
+      settled_(std::move(settled)),
+      started_at_(owner.Now()) {
   if (order_.granted)
     claim_.emplace(entry_, order_.granted->ticket);
 }
@@ -30,12 +33,6 @@
   if (connection_)
     connection_->Close();
   ReleaseSlot(false);
-  changed_.Notify();
-}
-
-void standby_attempt::WaitUntilSettled() {
-  while (!cancelled_ && state_ == standby_state::kRunning)
-    changed_.Wait();
 }
 
 void standby_attempt::ReleaseSlot(bool complete) {
@@ -57,6 +54,7 @@
     closed_by_replica_ =
         error.failure() == runtime::transport_failure::kClosed ||
         error.failure() == runtime::transport_failure::kRefused;
+    timed_out_ = error.failure() == runtime::transport_failure::kTimeout;
   } catch (const std::exception& error) {
     detail_ = error.what();
     telemetry::LogChange(
@@ -73,13 +71,12 @@
   state_ = state;
   if (state != standby_state::kReady)
     ReleaseSlot(false);
-  changed_.Notify();
   if (const auto settled = std::exchange(settled_, nullptr))
-    settled();
+    settled(*this);
 }
 
 standby_state standby_attempt::RunSteps() {
-  if (!Connect() || cancelled_)
+  if (cancelled_ || !Connect() || cancelled_)
     return standby_state::kNotSent;
   // An answer to another request may have said meanwhile that the replica is
   // leaving or pausing.
@@ -107,6 +104,7 @@
                      RemainingTime()));
   } catch (const runtime::transport_error& error) {
     detail_ = error.what();
+    connect_failed_ = true;
     if (!cancelled_ && order_.granted) {
       const target& replica = order_.granted->replica;
       entry_.RecordConnection(order_.service, replica, false);
--- a/packages/gateway/standby_attempt.h
+++ b/packages/gateway/standby_attempt.h
@@ -47,7 +47,7 @@
   ///        Cancel came before.
   standby_attempt(entry& owner,
                   standby_order order,
-                  std::function<void()> settled);
+                  std::function<void(standby_attempt&)> settled);
 
   /// Sends @p message from a fiber of its own.
   void Start(runtime::http_request message);
@@ -55,15 +55,17 @@
   /// Ends the attempt and gives its slot back; harmless when it has ended.
   void Cancel();
 
-  /// Suspends the calling fiber until the attempt has settled or is cancelled.
-  void WaitUntilSettled();
-
   standby_state state() const { return state_; }
   /// @return whether the replica may have received the request.
   bool was_sent() const { return was_sent_; }
+  /// @return whether no connection was established.
+  bool connect_failed() const { return connect_failed_; }
   /// @return whether the replica ended the connection, or refused it.
   bool closed_by_replica() const { return closed_by_replica_; }
+  /// @return whether it failed for want of an answer in time.
+  bool timed_out() const { return timed_out_; }
   const standby_order& order() const { return order_; }
+  base::time_point started_at() const { return started_at_; }
   base::time_point sent_at() const { return sent_at_; }
   const std::string& detail() const { return detail_; }
 
@@ -92,7 +94,7 @@
   entry& entry_;
   standby_order order_;
   runtime::http_request message_;
-  std::function<void()> settled_;
+  std::function<void(standby_attempt&)> settled_;
   std::optional<entry::slot_claim> claim_;
   std::unique_ptr<runtime::http_connection> connection_;
   runtime::http_response_head head_;
@@ -100,10 +102,12 @@
   standby_state state_ = standby_state::kRunning;
   bool cancelled_ = false;
   bool was_sent_ = false;
+  bool connect_failed_ = false;
   bool closed_by_replica_ = false;
+  bool timed_out_ = false;
+  base::time_point started_at_{};
   base::time_point sent_at_{};
   std::string detail_;
-  runtime::fiber_signal changed_;
 };
 
 }  // namespace flamingoshunt::gateway
