--- a/packages/store/messages.h
+++ b/packages/store/messages.h
@@ -102,8 +102,8 @@
 /// after the last revision seen.
 struct watch_ended {
   watch_id id;
-  /// How long the platform's host had answered nothing on the connection, not
-  /// even probes; zero when the host closed it.
+  /// How long the platform had been silent on the connection: no probe was
+  /// answered, or an answer was overdue; zero when the host closed it.
   base::duration host_silent{};
 };
 
