Keep a silent attempt of the product's own path running

Seen by callers: a replica that is silent for longer than silence.* (8 s between tokens, 10 s before the head, 60 s of a service) cost its stream the running attempt, and 502 or 503 with time left if no other slot, retry or attempt was to be had, though the replica went on. Work that runs at most once ended with 502 after 60 s with time left. Found by reading, not in a report.

Cause: OnStallTimeout cancelled the attempt and released its slot before the fresh connection had answered, the retry budget was asked or another slot was granted.

A stalled attempt keeps running. A standby runs beside it, over a fresh connection to the same replica, then on others as admission grants slots (which charges the retry). The first is cancelled once the standby has its first token, or head for services; if it breaks first, the standby takes over. Without a standby it runs until the caller's deadline, and without a deadline it ends as before. Only repeatable work gets a standby. A request may now hold two slots, so the dispatch thread counts them before it forgets which I/O thread asked.

Ruled out by reading: a readiness lapse, an ejection and the quarantine keep new work away and end no running attempt. The loss of a member needs 4 s without a report, and a majority of the voters or, without peers, few silent members.

--- a/packages/daemon/dispatch_duty.cc
+++ b/packages/daemon/dispatch_duty.cc
@@ -68,7 +68,7 @@
 
 void dispatch_duty::Take(std::size_t link, dispatch_request&& request) {
   if (const auto* ask = std::get_if<admission::slot_request>(&request))
-    asked_by_[ask->shape.request] = link;
+    NoteRequest(link, ask->shape.request);
   else if (const auto* withdraw = std::get_if<admission::withdrawal>(&request))
     asked_by_.erase(withdraw->request);
   else if (const auto* release = std::get_if<admission::release>(&request))
@@ -76,8 +76,25 @@
   std::visit([this](const auto& each) { Feed(each); }, request);
 }
 
+void dispatch_duty::NoteRequest(std::size_t link,
+                                const base::request_id& request) {
+  asker& by = asked_by_[request];
+  by.link = link;
+  by.is_waiting = true;
+}
+
+void dispatch_duty::ForgetUnused(const base::request_id& request) {
+  const auto found = asked_by_.find(request);
+  if (found != asked_by_.end() && !found->second.is_waiting &&
+      found->second.slots <= 0)
+    asked_by_.erase(found);
+}
+
 void dispatch_duty::NoteRelease(const routing::attempt_finished& finished) {
-  asked_by_.erase(finished.request);
+  if (const auto found = asked_by_.find(finished.request);
+      found != asked_by_.end())
+    --found->second.slots;
+  ForgetUnused(finished.request);
   const bool failed = finished.result == routing::attempt_result::kBroken ||
                       finished.result == routing::attempt_result::kNotStarted;
   if (failed && failures_)
@@ -89,25 +106,35 @@
     if (auto* publish = std::get_if<membership::publish>(&effect)) {
       publications_->Send(std::move(*publish));
     } else if (auto* grant = std::get_if<admission::grant>(&effect)) {
+      NoteAnswer(grant->request, 1);
       Reply(grant->request, *grant);
     } else if (auto* preempt = std::get_if<admission::preemption>(&effect)) {
       Reply(preempt->request, *preempt);
     } else {
       const auto& refusal = std::get<admission::refusal>(effect);
+      NoteAnswer(refusal.request, 0);
       Reply(refusal.request, refusal);
-      asked_by_.erase(refusal.request);
+      ForgetUnused(refusal.request);
     }
   }
   metrics_.Update(machine_);
   timer_.Arm(machine_.NextTimer());
 }
 
+void dispatch_duty::NoteAnswer(const base::request_id& request, int slots) {
+  const auto found = asked_by_.find(request);
+  if (found == asked_by_.end())
+    return;
+  found->second.is_waiting = false;
+  found->second.slots += slots;
+}
+
 void dispatch_duty::Reply(const base::request_id& request,
                           dispatch_answer answer) {
   const auto found = asked_by_.find(request);
   if (found == asked_by_.end())
     return;
-  links_[found->second].answers->Send(std::move(answer));
+  links_[found->second.link].answers->Send(std::move(answer));
 }
 
 boost::json::array dispatch_duty::QuarantineJson() {
--- a/packages/daemon/dispatch_duty.h
+++ b/packages/daemon/dispatch_duty.h
@@ -54,7 +54,16 @@
     std::unique_ptr<duty::outbox<dispatch_answer>> answers;
   };
 
+  struct asker {
+    std::size_t link = 0;  ///< Its I/O thread.
+    int slots = 0;
+    bool is_waiting = false;
+  };
+
   void Take(std::size_t link, dispatch_request&& request);
+  void NoteRequest(std::size_t link, const base::request_id& request);
+  void NoteAnswer(const base::request_id& request, int slots);
+  void ForgetUnused(const base::request_id& request);
   void NoteRelease(const routing::attempt_finished& finished);
   void Feed(const admission::input& input);
   void Reply(const base::request_id& request, dispatch_answer answer);
@@ -66,8 +75,8 @@
   dispatch_metrics metrics_;
   duty::timer timer_;
   std::vector<io_link> links_;
-  /// The I/O thread of each request that waits or holds a place.
-  std::unordered_map<base::request_id, std::size_t> asked_by_;
+  /// The requests that wait for a slot or hold slots; one may do both.
+  std::unordered_map<base::request_id, asker> asked_by_;
   duty::channel<catalogue_update> catalogues_;
   duty::channel<replica_news> replicas_;
   duty::channel<peer_news> peers_;
--- a/packages/delivery/request_machine.cc
+++ b/packages/delivery/request_machine.cc
@@ -65,13 +65,13 @@
          &m::OnLateGrant, nullptr, nullptr, nullptr, nullptr, nullptr, nullptr, &m::OnReply},
     // kAwaitingHead
     {nullptr, &m::OnCallerDisconnectedWhileRunning, &m::OnTimer, &m::OnStopping,
-         &m::OnLateGrant, nullptr, &m::OnPreempt, &m::OnHead, &m::OnChunk, &m::OnEnd, &m::OnBroken, nullptr},
+         &m::OnStandbyGrant, &m::OnStandbyRefusal, &m::OnPreempt, &m::OnHead, &m::OnChunk, &m::OnEnd, &m::OnBroken, nullptr},
     // kAwaitingFirstToken
     {nullptr, &m::OnCallerDisconnectedWhileRunning, &m::OnTimer, &m::OnStopping,
-         &m::OnLateGrant, nullptr, &m::OnPreempt, nullptr, &m::OnChunk, &m::OnEnd, &m::OnBroken, nullptr},
+         &m::OnStandbyGrant, &m::OnStandbyRefusal, &m::OnPreempt, &m::OnHead, &m::OnChunk, &m::OnEnd, &m::OnBroken, nullptr},
     // kStreaming
     {nullptr, &m::OnCallerDisconnectedWhileRunning, &m::OnTimer, &m::OnStopping,
-         &m::OnLateGrant, nullptr, &m::OnPreempt, nullptr, &m::OnChunk, &m::OnEnd, &m::OnBroken, nullptr},
+         &m::OnStandbyGrant, &m::OnStandbyRefusal, &m::OnPreempt, &m::OnHead, &m::OnChunk, &m::OnEnd, &m::OnBroken, nullptr},
     // kClosingClaim
     {nullptr, nullptr, &m::OnTimer, &m::OnStopping,
          &m::OnLateGrant, nullptr, nullptr, nullptr, nullptr, nullptr, nullptr, &m::OnReply},
@@ -171,8 +171,11 @@
   const bool may_have_run = Outcome() == caller::run_outcome::kUnknown;
   if (state_ == request_state::kWaitingForSlot)
     out_.push_back(withdraw_slot_request{{request_.id}});
+  CancelStandby();
+  DropStandby(routing::attempt_result::kCancelled);
   CancelAttempt();
   ReleaseSlot(result);
+  WithdrawStandbyRequest();
   CloseClaim(may_have_run ? claim_state::kUnknown : claim_state::kRefused,
              std::nullopt);
 }
@@ -180,7 +183,10 @@
 void request_machine::Complete() {
   caller_is_done_ = true;
   attempt_.reset();
+  CancelStandby();
+  DropStandby(routing::attempt_result::kCancelled);
   ReleaseSlot(routing::attempt_result::kCompleted);
+  WithdrawStandbyRequest();
   CloseClaim(claim_state::kDone,
              answer_->MakeStoredAnswer(settings_.claims.stored_answer));
 }
--- a/packages/delivery/request_machine.h
+++ b/packages/delivery/request_machine.h
@@ -10,6 +10,11 @@
 // A failed attempt of repeatable work returns to "awaiting head" (same replica,
 // fresh connection) or to "waiting for slot" (another replica). Non-repeatable
 // work is retried only if no byte of it can have been sent.
+//
+// An attempt that is silent keeps running beside a standby attempt, first over
+// a fresh connection, then on other replicas; it is given up only for one that
+// has begun to answer. Without a standby it runs until the caller's deadline,
+// or, if there is none, until the timeouts of stalls and readmission.
 #ifndef FLAMINGOSHUNT_DELIVERY_REQUEST_MACHINE_H_
 #define FLAMINGOSHUNT_DELIVERY_REQUEST_MACHINE_H_
 
@@ -84,6 +89,8 @@
   void OnStopping(const node_stopping& message);
   void OnGrant(const admission::grant& message);
   void OnLateGrant(const admission::grant& message);
+  void OnStandbyGrant(const admission::grant& message);
+  void OnStandbyRefusal(const admission::refusal& message);
   void OnRefusal(const admission::refusal& message);
   void OnPreempt(const admission::preemption& message);
   void OnHead(const endpoint::answer_head& message);
@@ -94,10 +101,14 @@
 
   // Slots.
   void RequestSlot();
+  void SendSlotRequest();
+  void UseSlot(const admission::grant& granted, base::time_point granted_at);
   void ReleaseSlot(routing::attempt_result result);
+  void ReleaseUnused(const admission::grant& granted,
+                     routing::attempt_result result);
   bool IsResumable() const;
   bool MayRetrySlotRequest(admission::refusal_reason reason) const;
-  void ScheduleSlotRequest(std::optional<base::duration> advised);
+  void SetSlotRequestTime(std::optional<base::duration> advised);
 
   // Claim.
   void PerformClaimStep(const claim_step& step);
@@ -107,6 +118,8 @@
 
   // Attempts.
   void StartAttempt(bool fresh_connection);
+  endpoint::attempt MakeAttempt(const admission::grant& granted,
+                                bool fresh_connection);
   bool IsCurrentAttempt(base::attempt_id attempt) const;
   void RecordProgress();
   void ActOnPieceResult(piece_result result, request_state next);
@@ -114,9 +127,24 @@
                        bool may_have_been_sent,
                        const std::string& detail);
   void Retry(endpoint::break_kind kind);
+  static routing::attempt_result ToAttemptResult(endpoint::break_kind kind);
   bool ShouldTryFreshConnection(endpoint::break_kind kind) const;
   void CancelAttempt();
 
+  // Standby attempts.
+  bool IsStandby(base::attempt_id attempt) const;
+  bool MayStartStandby() const;
+  void SeekStandby();
+  void StartStandby(std::optional<admission::grant> granted);
+  void RequestStandbySlot();
+  void OnStandbyHead(const endpoint::answer_head& head);
+  void OnStandbyFailed(endpoint::break_kind kind);
+  void PromoteStandby(routing::attempt_result result);
+  void CancelStandby();
+  void DropStandby(routing::attempt_result result);
+  void EndSilence();
+  void WithdrawStandbyRequest();
+
   // Completion.
   void Complete();
   void Fail(const caller::problem& problem, routing::attempt_result result);
@@ -124,7 +152,7 @@
   caller::run_outcome Outcome() const;
 
   // Timers.
-  base::duration StallTimeout() const;
+  base::duration StallTimeout(request_state state) const;
   void RestartStallTimer();
   void OnDeadline();
   void OnStallTimeout();
@@ -166,7 +194,19 @@
   std::uint64_t tokens_at_grant_ = 0;  // Of the current slot.
   std::uint64_t tokens_reported_ = 0;
 
-  std::optional<base::time_point> stall_deadline_;
+  struct standby_attempt {
+    base::attempt_id attempt;
+    /// Empty while it shares the slot of the silent attempt.
+    std::optional<admission::grant> slot;
+    base::time_point started;
+    std::optional<endpoint::answer_head> head;
+  };
+  std::optional<standby_attempt> standby_;
+  bool standby_slot_requested_ = false;
+  /// Since when the current attempt counts as stalled.
+  std::optional<base::time_point> silent_since_;
+
+  std::optional<base::time_point> stall_deadline_;  ///< Of the standby, if any.
   std::optional<base::time_point> slot_request_at_;
   std::optional<base::time_point> armed_timer_;
 };
--- a/packages/delivery/request_machine_attempts.cc
+++ b/packages/delivery/request_machine_attempts.cc
@@ -9,7 +9,15 @@
 namespace flamingoshunt::delivery {
 namespace {
 
-routing::attempt_result ToAttemptResult(endpoint::break_kind kind) {
+bool IsKnownNotRun(endpoint::break_kind kind, bool may_have_been_sent) {
+  return !may_have_been_sent && (kind == endpoint::break_kind::kConnectFailed ||
+                                 kind == endpoint::break_kind::kRefused);
+}
+
+}  // namespace
+
+routing::attempt_result request_machine::ToAttemptResult(
+    endpoint::break_kind kind) {
   switch (kind) {
     case endpoint::break_kind::kConnectFailed:
     case endpoint::break_kind::kRefused:
@@ -23,30 +31,29 @@
   return routing::attempt_result::kBroken;
 }
 
-bool IsKnownNotRun(endpoint::break_kind kind, bool may_have_been_sent) {
-  return !may_have_been_sent && (kind == endpoint::break_kind::kConnectFailed ||
-                                 kind == endpoint::break_kind::kRefused);
-}
-
-}  // namespace
-
-void request_machine::StartAttempt(bool fresh_connection) {
+endpoint::attempt request_machine::MakeAttempt(const admission::grant& granted,
+                                               bool fresh_connection) {
   ++attempts_;
   endpoint::attempt attempt;
   attempt.id = ids_.NextAttemptId();
   attempt.request = request_.id;
-  attempt.replica = slot_->place.replica;
-  attempt.epoch = slot_->place.epoch;
-  attempt.address = slot_->place.address;
+  attempt.replica = granted.place.replica;
+  attempt.epoch = granted.place.epoch;
+  attempt.address = granted.place.address;
   attempt.method = request_.method;
   attempt.target = request_.target;
   attempt.content_type = request_.content_type;
   attempt.body = request_.body;
-  attempt.priority = slot_->engine_priority;
+  attempt.priority = granted.engine_priority;
   attempt.stream = IsEngine();
   attempt.fresh_connection = fresh_connection;
-  attempt.resume = answer_->PrepareAttempt();
   attempt.traceparent = request_.traceparent;
+  return attempt;
+}
+
+void request_machine::StartAttempt(bool fresh_connection) {
+  endpoint::attempt attempt = MakeAttempt(*slot_, fresh_connection);
+  attempt.resume = answer_->PrepareAttempt();
   attempt_ = attempt.id;
   attempt_uses_fresh_connection_ = fresh_connection;
   state_ = request_state::kAwaitingHead;
@@ -60,7 +67,10 @@
 }
 
 void request_machine::OnHead(const endpoint::answer_head& message) {
-  if (!IsCurrentAttempt(message.attempt))
+  if (IsStandby(message.attempt))
+    return OnStandbyHead(message);
+  if (!IsCurrentAttempt(message.attempt) ||
+      state_ != request_state::kAwaitingHead)
     return;
   effects pieces;
   const piece_result result = answer_->ApplyHead(message, pieces);
@@ -73,6 +83,8 @@
 }
 
 void request_machine::OnChunk(const endpoint::answer_chunk& message) {
+  if (IsStandby(message.attempt))
+    PromoteStandby(routing::attempt_result::kSlow);
   if (!IsCurrentAttempt(message.attempt))
     return;
   effects pieces;
@@ -84,6 +96,8 @@
 }
 
 void request_machine::OnEnd(const endpoint::answer_end& message) {
+  if (IsStandby(message.attempt))
+    PromoteStandby(routing::attempt_result::kSlow);
   if (!IsCurrentAttempt(message.attempt))
     return;
   effects pieces;
@@ -114,6 +128,7 @@
   switch (result) {
     case piece_result::kProgress:
       state_ = next;
+      EndSilence();
       RestartStallTimer();
       return;
     case piece_result::kDuplicate:
@@ -129,6 +144,12 @@
 }
 
 void request_machine::OnBroken(const endpoint::answer_broken& message) {
+  if (IsStandby(message.attempt)) {
+    may_have_run_ |=
+        !IsKnownNotRun(message.kind, message.request_may_have_been_sent);
+    OnStandbyFailed(message.kind);
+    return;
+  }
   if (!IsCurrentAttempt(message.attempt))
     return;
   attempt_.reset();
@@ -151,6 +172,8 @@
   const bool known_not_run = IsKnownNotRun(kind, may_have_been_sent);
   if (!known_not_run)
     may_have_run_ = true;
+  if (standby_)
+    return PromoteStandby(ToAttemptResult(kind));
   const bool may_retry =
       request_.repeatable ? answer_->CanRetry() : known_not_run;
   const bool wanted =
@@ -186,18 +209,18 @@
   return kind == endpoint::break_kind::kStalled || closed_before_answer;
 }
 
-base::duration request_machine::StallTimeout() const {
+base::duration request_machine::StallTimeout(request_state state) const {
   if (!IsEngine())
     return settings_.silence.service;
-  if (state_ == request_state::kAwaitingHead)
+  if (state == request_state::kAwaitingHead)
     return settings_.silence.head;
-  return state_ == request_state::kAwaitingFirstToken
+  return state == request_state::kAwaitingFirstToken
              ? settings_.silence.first_token
              : settings_.silence.between_tokens;
 }
 
 void request_machine::RestartStallTimer() {
-  stall_deadline_ = now_ + StallTimeout();
+  stall_deadline_ = now_ + StallTimeout(state_);
 }
 
 void request_machine::OnTimer(const timer_fired& /*message*/) {
@@ -206,8 +229,12 @@
     OnDeadline();
   if (claim_ && claim_->next_timer() && now_ >= *claim_->next_timer())
     PerformClaimStep(claim_->Tick(now_));
-  if (slot_request_at_ && now_ >= *slot_request_at_)
-    RequestSlot();
+  if (slot_request_at_ && now_ >= *slot_request_at_) {
+    if (silent_since_)
+      RequestStandbySlot();
+    else
+      RequestSlot();
+  }
   if (stall_deadline_ && now_ >= *stall_deadline_)
     OnStallTimeout();
 }
@@ -228,8 +255,12 @@
     stall_deadline_ = now_ + tolerance;
     return;
   }
-  OnAttemptFailed(endpoint::break_kind::kStalled, true,
-                  "no progress within the bound");
+  if (standby_) {
+    CancelStandby();
+    OnStandbyFailed(endpoint::break_kind::kStalled);
+  } else {
+    SeekStandby();
+  }
 }
 
 std::optional<base::time_point> request_machine::EarliestTimer() const {
--- a/packages/delivery/request_machine_slots.cc
+++ b/packages/delivery/request_machine_slots.cc
@@ -17,6 +17,12 @@
 
 void request_machine::RequestSlot() {
   state_ = request_state::kWaitingForSlot;
+  silent_since_.reset();
+  standby_slot_requested_ = false;  // Replaced at admission by this one.
+  SendSlotRequest();
+}
+
+void request_machine::SendSlotRequest() {
   slot_request_at_.reset();
   admission::slot_request slot_request;
   slot_request.shape.request = request_.id;
@@ -41,12 +47,8 @@
 }
 
 void request_machine::OnGrant(const admission::grant& message) {
-  slot_ = message;
+  UseSlot(message, now_);
   fresh_connection_tried_ = false;
-  time_to_first_token_.reset();
-  slot_granted_at_ = now_;
-  tokens_at_grant_ = answer_->tokens();
-  tokens_reported_ = tokens_at_grant_;
   if (claim_ && !claim_acquired_) {
     state_ = request_state::kAcquiringClaim;
     PerformClaimStep(claim_->Acquire(now_));
@@ -55,14 +57,28 @@
   }
 }
 
+void request_machine::UseSlot(const admission::grant& granted,
+                              base::time_point granted_at) {
+  slot_ = granted;
+  time_to_first_token_.reset();
+  slot_granted_at_ = granted_at;
+  tokens_at_grant_ = answer_->tokens();
+  tokens_reported_ = tokens_at_grant_;
+}
+
 // The grant was sent before admission received the withdrawal.
 void request_machine::OnLateGrant(const admission::grant& message) {
+  ReleaseUnused(message, routing::attempt_result::kCancelled);
+}
+
+void request_machine::ReleaseUnused(const admission::grant& granted,
+                                    routing::attempt_result result) {
   routing::attempt_finished finished;
   finished.request = request_.id;
-  finished.replica = message.place.replica;
-  finished.epoch = message.place.epoch;
+  finished.replica = granted.place.replica;
+  finished.epoch = granted.place.epoch;
   finished.fingerprint = request_.fingerprint;
-  finished.result = routing::attempt_result::kCancelled;
+  finished.result = result;
   out_.push_back(release_slot{{std::move(finished)}});
 }
 
@@ -75,7 +91,8 @@
   }
   if (message.reason == admission::refusal_reason::kNoReplica)
     excluded_replicas_.clear();
-  ScheduleSlotRequest(message.retry_after);
+  state_ = request_state::kBackingOff;
+  SetSlotRequestTime(message.retry_after);
 }
 
 bool request_machine::IsResumable() const {
@@ -88,9 +105,22 @@
 void request_machine::OnPreempt(const admission::preemption& message) {
   const bool current = slot_ && slot_->place.replica == message.replica &&
                        slot_->place.epoch == message.epoch;
+  const bool is_standby = standby_ && standby_->slot &&
+                          standby_->slot->place.replica == message.replica &&
+                          standby_->slot->place.epoch == message.epoch;
+  if (is_standby && !current) {
+    stall_deadline_.reset();
+    --attempts_;
+    CancelStandby();
+    DropStandby(routing::attempt_result::kCancelled);
+    SetSlotRequestTime(std::nullopt);
+    return;
+  }
   if (!current || !IsResumable() || caller_is_done_)
     return;
   stall_deadline_.reset();
+  CancelStandby();
+  DropStandby(routing::attempt_result::kCancelled);
   CancelAttempt();
   --attempts_;
   ReleaseSlot(routing::attempt_result::kCancelled);
@@ -113,9 +143,8 @@
          now_ < *readmission_started_ + settings_.attempts.readmission_timeout;
 }
 
-void request_machine::ScheduleSlotRequest(
+void request_machine::SetSlotRequestTime(
     std::optional<base::duration> advised) {
-  state_ = request_state::kBackingOff;
   const base::duration pause =
       std::min(advised.value_or(base::duration::zero()), kMaxRetryAfter);
   slot_request_at_ =
