--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -16,7 +16,6 @@
 constexpr int kPauseRange = 200;  // ms
 constexpr milliseconds kReadyPeriod{300};
 constexpr milliseconds kStopPoll{20};
-// Idle connections are used again up to this share of the idle timeout.
 constexpr int kEventsPerStream = 20;
 constexpr int kOk = 200;
 
