Ask a clean exit only of nodes that have started

Its list of faults shows the SIGTERM in the same millisecond as the start, and the log of that process has no line: a signal before the program has begun ends it by the default action. The node had taken no request. The check asks for exit code 0 of every node whose log says that it started, as before; of one that hasn't, nothing can be asked.

--- a/tests/soak/processes.h
+++ b/tests/soak/processes.h
@@ -50,6 +50,8 @@
   std::string caller_address;
   std::string ready_address;
   std::string settings;
+  std::string log;
+  std::size_t log_size_before = 0;  ///< When its process was started.
   std::string daemon;
   std::unique_ptr<child_process> process;
   bool is_stopping = false;  ///< The soak has sent SIGTERM or SIGKILL.
@@ -71,6 +73,9 @@
   void Start();
 
   void StartNode(node_process& node);
+  /// @return whether the node's process has said that it runs; before that, a
+  ///         signal ends it as it does any process.
+  static bool HasStarted(const node_process& node);
   void Configure(const configuration_change& change);
 
   /// @return whether the node says that it takes callers.
