--- a/packages/delivery/request_machine.h
+++ b/packages/delivery/request_machine.h
@@ -12,7 +12,7 @@
 // work is retried only if no byte of it can have been sent.
 //
 // An attempt that is silent keeps running beside a standby attempt, first over
-// a fresh connection, then on other replicas; it is given up only for one that
+// a fresh connection, then on other replicas; it is abandoned only for one that
 // has begun to answer. Without a standby it runs until the caller's deadline,
 // or, if there is none, until the timeouts of stalls and readmission.
 #ifndef FLAMINGOSHUNT_DELIVERY_REQUEST_MACHINE_H_
--- a/packages/delivery/tests/correctness/silence_ends_no_running_answer.cc
+++ b/packages/delivery/tests/correctness/silence_ends_no_running_answer.cc
@@ -13,7 +13,7 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-// An engine that falls silent after three tokens. It goes on with its streams
+// An engine that falls silent after three tokens. It continues its streams
 // after the silence, and takes no new connection until then.
 class silent_engine {
  public:
--- a/packages/gateway/session_answer.cc
+++ b/packages/gateway/session_answer.cc
@@ -134,11 +134,11 @@
   const bool resumed = response_started_;
   // CheckStalls closes the connection at the deadline.
   while (!bytes.empty() || upstream_->ReadSome(bytes, runtime::kNoTimeout)) {
-    // Another attempt goes on after the last event; these bytes had been read
-    // before this one was given up.
+    // Another attempt resumes after the last event; these bytes were read
+    // before this one was abandoned.
     if (replica_stalled_)
       throw runtime::transport_error(runtime::transport_failure::kClosed,
-                                     upstream_->address() + ": given up");
+                                     upstream_->address() + ": abandoned");
     const std::string out = splitter_.Append(bytes);
     bytes.clear();
     if (out.empty()) {
--- a/packages/gateway/session_standby.cc
+++ b/packages/gateway/session_standby.cc
@@ -42,7 +42,7 @@
 }  // namespace
 
 // The retry, the slot and the attempt are taken before anything is sent; the
-// current attempt goes on whatever becomes of them.
+// current attempt continues in any case.
 void session::StartStandby() {
   const auto now = entry_.Now();
   if (now < next_standby_at_)
@@ -175,8 +175,8 @@
   return ready == standbys_.end() ? nullptr : *ready;
 }
 
-// Keeps the current attempt, which made progress. One that has been given up
-// may still deliver what had been read before.
+// Keeps the current attempt, which made progress. An abandoned one may still
+// deliver bytes that had been read before.
 void session::KeepAttempt() {
   if (!replica_stalled_)
     DropStandbys("answered");
--- a/packages/gateway/standby_attempt.h
+++ b/packages/gateway/standby_attempt.h
@@ -1,8 +1,8 @@
 // Defines the second attempt of a request whose first one is silent. Both run
 // until one of them makes progress, so a replica's silence never ends an
-// answer: the first attempt is given up only for one that has begun to answer.
+// answer: the first attempt is abandoned only for one that has begun to answer.
 //
-// Load pattern: all replicas of a model fall silent for a second and go on.
+// Load pattern: all replicas of a model fall silent for a second and continue.
 // Every stream then finds its replica stalled at the same time, and the others
 // are silent, full or beyond the retry budget.
 #ifndef FLAMINGOSHUNT_GATEWAY_STANDBY_ATTEMPT_H_
--- a/packages/gateway/tests/correctness/a_silence_ends_no_answer.cc
+++ b/packages/gateway/tests/correctness/a_silence_ends_no_answer.cc
@@ -84,7 +84,8 @@
   });
 }
 
-// The alternative ends the connection after a while; the first replica goes on.
+// The alternative ends the connection after a while; the first replica
+// continues.
 TEST_CASE("A stream outlives an alternative that breaks off") {
   const gateway_harness harness([](gateway_harness& test) {
     const auto count = std::make_shared<int>(0);
@@ -142,7 +143,7 @@
     CHECK(answer.complete);
     CHECK(answer.body == AllEvents(10));
     CHECK(*count == 2);
-    // The alternative doesn't work on for nobody.
+    // The alternative stops its work.
     boost::this_fiber::sleep_for(milliseconds(50));
     CHECK(*ended);
     CHECK(test.gateway().CollectUpdate().loads.empty());
--- a/packages/gateway/tests/correctness/a_stream_joins_no_two_runs.cc
+++ b/packages/gateway/tests/correctness/a_stream_joins_no_two_runs.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-// Guards against an event of the first attempt, read before that was given up,
+// Guards against an event of the first attempt, read before that was abandoned,
 // in front of a second attempt that resumes before that event.
 TEST_CASE("Both attempts of a stream that answer at once give one run") {
   for (const bool second_goes_first : {true, false}) {
--- a/stand_ins/native/native_replica_main.cc
+++ b/stand_ins/native/native_replica_main.cc
@@ -1,5 +1,5 @@
-// A replica of the users' platform as a program, on loopback. GET /-/runs tells
-// how often it ran each request.
+// A replica of the users' platform as a program, on loopback. GET /-/runs
+// returns how often it ran each request.
 #include <boost/program_options.hpp>
 
 #include <chrono>
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -28,7 +28,7 @@
  public:
   faults(processes& deployment, fault_set set, std::uint64_t seed);
 
-  /// Starts the series; each goes on until @p length has passed.
+  /// Starts the series; each continues until @p length has passed.
   void Start(milliseconds length);
   /// Returns when all processes run again.
   void Wait();
